Entry host: sessions, routing, failover core and stand-ins; a write on one host is read on another

Cause: nothing stood yet. The core decides without I/O; sockets stand round it. Measured: the in-process test writes 10 rows on one host and reads each on another with the session token.

--- /dev/null
+++ b/internal/caller/local.go
@@ -0,0 +1,114 @@
+package caller
+
+import (
+	"context"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cumintrestle/cumintrestle/pkg/result"
+)
+
+// local answers SET, SHOW and RESET of our own parameters.
+func (c *callerSession) local(ctx context.Context, b *batch) error {
+	sql := b.query
+	if !b.simple {
+		sql = b.names[0].query
+		for _, p := range b.names[1:] {
+			if p.query != sql {
+				return c.fail(result.New(result.NotSupported, "parameters of cumintrestle go in a request of their own"))
+			}
+		}
+	}
+	var row *string
+	tag := "SET"
+	if m := showForm.FindStringSubmatch(sql); m != nil {
+		value := ""
+		var err error
+		if b.executes() {
+			value, err = c.showValue(ctx, m[1])
+		}
+		if err != nil {
+			return c.fail(err)
+		}
+		row, tag = &value, "SHOW"
+	} else if b.executes() {
+		if err := c.setValue(sql); err != nil {
+			return c.fail(err)
+		}
+	}
+	if b.simple {
+		if row != nil {
+			c.be.Send(showRows())
+			c.be.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(*row)}})
+		}
+		c.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	}
+	for _, m := range b.messages {
+		c.localMessage(m, row, tag)
+	}
+	c.sendReady()
+	return nil
+}
+
+func (c *callerSession) setValue(sql string) error {
+	if m := setForm.FindStringSubmatch(sql); m != nil {
+		return c.params.set(m[1], m[2])
+	}
+	if m := resetForm.FindStringSubmatch(sql); m != nil {
+		return c.params.reset(m[1])
+	}
+	return result.New(result.SettingInvalid, "not understood")
+}
+
+func (c *callerSession) showValue(ctx context.Context, name string) (string, error) {
+	if name != paramOutcome {
+		return c.params.show(name)
+	}
+	if c.tx != nil {
+		return "", result.New(result.SettingInvalid, "%s can't be asked inside a transaction", name)
+	}
+	if c.params.requestID == "" {
+		return "", result.New(result.SettingInvalid, "%s needs %s", name, paramRequestID)
+	}
+	if err := c.checkTemplate(); err != nil {
+		return "", err
+	}
+	return c.outcome(ctx)
+}
+
+func showRows() *pgproto3.RowDescription {
+	const oidText = 25
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte("value"), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1},
+	}}
+}
+
+// localMessage answers one extended-protocol message of a local statement.
+func (c *callerSession) localMessage(m pgproto3.FrontendMessage, row *string, tag string) {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		c.prepared[m.Name] = newPrepared(m.Query, m.ParameterOIDs)
+		c.be.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		c.be.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			c.be.Send(&pgproto3.ParameterDescription{})
+		}
+		if row == nil {
+			c.be.Send(&pgproto3.NoData{})
+			return
+		}
+		c.be.Send(showRows())
+	case *pgproto3.Execute:
+		if row != nil {
+			c.be.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(*row)}})
+		}
+		c.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.prepared, m.Name)
+		}
+		c.be.Send(&pgproto3.CloseComplete{})
+	}
+}
--- /dev/null
+++ b/internal/endpoint/dialer.go
@@ -0,0 +1,68 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/cumintrestle/cumintrestle/pkg/result"
+)
+
+const (
+	controlUser    = "cumintrestle_control"
+	serviceUser    = "cumintrestle"
+	connectTimeout = 3 * time.Second
+)
+
+// Dialer opens connections to endpoints on behalf of one entry host.
+type Dialer struct {
+	// Host identifies this run of the entry host to the endpoint.
+	Host     string
+	Password string
+	// BindIP is the IP number to dial from; empty for any.
+	BindIP string
+}
+
+func (d Dialer) connect(ctx context.Context, user, address, database string) (*pgconn.PgConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	cfg, err := pgconn.ParseConfig("postgres://" + user + "@" + address + "/" + database + "?sslmode=disable")
+	if err != nil {
+		return nil, fmt.Errorf("endpoint address %s: %w", address, err)
+	}
+	cfg.Password = d.Password
+	cfg.RuntimeParams["application_name"] = d.Host
+	cfg.DialFunc = d.DialContext
+	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	return conn, nil
+}
+
+// DialContext opens a plain connection from BindIP.
+func (d Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	var nd net.Dialer
+	if d.BindIP != "" {
+		nd.LocalAddr = &net.TCPAddr{IP: net.ParseIP(d.BindIP)}
+	}
+	conn, err := nd.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return conn, nil
+}
+
+// connectError codes a refusal of the endpoint; nothing was run by it.
+func connectError(err error) error {
+	var pe *pgconn.PgError
+	if errors.As(err, &pe) {
+		return result.New(result.EndpointRefused, "endpoint: %s (%s)", strings.TrimSpace(pe.Message), pe.Code)
+	}
+	return result.New(result.EndpointRefused, "endpoint: %w", err)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,162 @@
+// Package settings reads and checks the JSON settings of one entry host.
+//
+// # Usage
+//
+//	s, err := settings.Load("host.json")
+//	if err != nil { ... } // names the field, its value and what is allowed
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/cumintrestle/cumintrestle/internal/core"
+	"github.com/cumintrestle/cumintrestle/pkg/result"
+)
+
+// Settings are the settings of one entry host. Times are in ms.
+type Settings struct {
+	HostID              string    `json:"host_id"`
+	Zone                core.Zone `json:"zone"`
+	BindIP              string    `json:"bind_ip,omitempty"`
+	CallerListen        string    `json:"caller_listen"`
+	PeerListen          string    `json:"peer_listen"`
+	PeerAdvertise       string    `json:"peer_advertise,omitempty"`
+	OperatorListen      string    `json:"operator_listen"`
+	SeedPeers           []string  `json:"seed_peers,omitempty"`
+	PlatformURL         string    `json:"platform_url"`
+	OperatorCredentials []string  `json:"operator_credentials"`
+	PeerCredential      string    `json:"peer_credential"`
+	EndpointPassword    string    `json:"endpoint_password"`
+	StatementWaitMS     int64     `json:"statement_wait_ms,omitempty"`
+	AckWaitMS           int64     `json:"ack_wait_ms,omitempty"`
+	ReadWaitMS          int64     `json:"read_wait_ms,omitempty"`
+	SuspectMS           int64     `json:"suspect_ms,omitempty"`
+	DrainMS             int64     `json:"drain_ms,omitempty"`
+	ReadPolicy          string    `json:"read_policy,omitempty"`
+	SharePolicy         string    `json:"share_policy,omitempty"`
+	LogLevel            string    `json:"log_level,omitempty"`
+}
+
+// The policies of reads: the product's own, and two baselines.
+const (
+	ReadSession       = "session"
+	ReadPrimaryOnly   = "primary_only"
+	ReadRandomReplica = "random_replica"
+)
+
+// The ways to share an endpoint's connections.
+const (
+	ShareLeased = "leased"
+	ShareFixed  = "fixed"
+)
+
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() Settings {
+	return Settings{
+		StatementWaitMS: 8000,
+		AckWaitMS:       8000,
+		ReadWaitMS:      30,
+		SuspectMS:       500,
+		DrainMS:         10_000,
+		ReadPolicy:      ReadSession,
+		SharePolicy:     ShareLeased,
+		LogLevel:        "info",
+	}
+}
+
+// Load reads a settings file; unknown fields are errors.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, result.New(result.SettingsInvalid, "settings: %w", err)
+	}
+	return Decode(data)
+}
+
+// Decode reads settings and checks them.
+func Decode(data []byte) (Settings, error) {
+	s := Defaults()
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, result.New(result.SettingsInvalid, "settings: %w", err)
+	}
+	if s.PeerAdvertise == "" {
+		s.PeerAdvertise = s.PeerListen
+	}
+	return s, s.Validate()
+}
+
+type textField struct {
+	name, value string
+}
+
+type rangeField struct {
+	name     string
+	value    int64
+	low, top int64
+}
+
+// Validate checks every field and names the first that is not allowed.
+func (s Settings) Validate() error {
+	for _, f := range []textField{
+		{"host_id", s.HostID},
+		{"zone", string(s.Zone)},
+		{"platform_url", s.PlatformURL},
+		{"peer_credential", s.PeerCredential},
+		{"endpoint_password", s.EndpointPassword},
+	} {
+		if f.value == "" {
+			return invalid(f.name, "", "a text that is not empty")
+		}
+	}
+	for _, f := range []textField{
+		{"caller_listen", s.CallerListen},
+		{"peer_listen", s.PeerListen},
+		{"operator_listen", s.OperatorListen},
+	} {
+		if _, _, err := net.SplitHostPort(f.value); err != nil {
+			return invalid(f.name, f.value, "IP number and port")
+		}
+	}
+	if s.BindIP != "" && net.ParseIP(s.BindIP) == nil {
+		return invalid("bind_ip", s.BindIP, "an IP number")
+	}
+	if len(s.OperatorCredentials) == 0 {
+		return invalid("operator_credentials", "none", "at least one of the form name:secret")
+	}
+	return s.validateRanges()
+}
+
+func (s Settings) validateRanges() error {
+	for _, f := range []rangeField{
+		{"statement_wait_ms", s.StatementWaitMS, 10, 60_000},
+		{"ack_wait_ms", s.AckWaitMS, 10, 60_000},
+		{"read_wait_ms", s.ReadWaitMS, 0, 1000},
+		{"suspect_ms", s.SuspectMS, 200, 5000},
+		{"drain_ms", s.DrainMS, 100, 600_000},
+	} {
+		if f.value < f.low || f.value > f.top {
+			return invalid(f.name, fmt.Sprint(f.value), fmt.Sprintf("%d to %d", f.low, f.top))
+		}
+	}
+	switch s.ReadPolicy {
+	case ReadSession, ReadPrimaryOnly, ReadRandomReplica:
+	default:
+		return invalid("read_policy", s.ReadPolicy, "session, primary_only or random_replica")
+	}
+	switch s.SharePolicy {
+	case ShareLeased, ShareFixed:
+	default:
+		return invalid("share_policy", s.SharePolicy, "leased or fixed")
+	}
+	return nil
+}
+
+func invalid(field, value, allowed string) error {
+	return result.New(result.SettingsInvalid, "field %s: value %q; allowed: %s", field, value, allowed)
+}
--- /dev/null
+++ b/internal/standin/deploy/spec.go
@@ -0,0 +1,80 @@
+// Package deploy starts a whole deployment of stand-ins and entry hosts in one
+// process, for the demo, the measurements and the tests.
+//
+// # Usage
+//
+//	d, err := deploy.Start(deploy.Bathafarn(), deploy.Options{})
+//	defer d.Stop()
+//	d.Node("die-ledger-1-cymru-a").Stop() // a primary fails
+package deploy
+
+import (
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/core"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+	"github.com/cumintrestle/cumintrestle/pkg/template"
+)
+
+// Spec describes a user's deployment.
+type Spec struct {
+	User   string
+	Zones  []core.Zone
+	Groups []session.Group
+	// Delay is the one-way delay between two zones.
+	Delay time.Duration
+	// CallerDelay is the one-way delay to callers.
+	CallerDelay  time.Duration
+	ConnectDelay time.Duration
+	Slots        int
+	Connections  int
+	Hosts        int
+	Accounts     []AccountSpec
+}
+
+// AccountSpec describes a client account of the demo, with its password.
+type AccountSpec struct {
+	Name         template.Account
+	Password     string
+	OldestReadMS int64
+	Connections  int
+}
+
+// GazonSahel is the turf cutting orders pooler of the brief.
+func GazonSahel() Spec {
+	return Spec{
+		User:         "gazon-sahel",
+		Zones:        []core.Zone{"sahel-a", "capbon-a", "tunis-a"},
+		Groups:       []session.Group{"orders-ledger-1", "orders-ledger-2", "orders-ledger-3"},
+		Delay:        10 * time.Millisecond,
+		CallerDelay:  time.Millisecond,
+		ConnectDelay: 10 * time.Millisecond,
+		Slots:        2,
+		Connections:  15,
+		Hosts:        7,
+		Accounts: []AccountSpec{
+			{"gazon-growers", "growers-demo", 1000, 200},
+			{"gazon-portal", "portal-demo", 5000, 400},
+			{"gazon-crews", "crews-demo", 2000, 100},
+		},
+	}
+}
+
+// Bathafarn is the die works of the brief.
+func Bathafarn() Spec {
+	return Spec{
+		User:         "bathafarn",
+		Zones:        []core.Zone{"cymru-a", "lloegr-a", "iwerddon-a"},
+		Groups:       []session.Group{"die-ledger-1", "die-ledger-2", "die-ledger-3"},
+		Delay:        20 * time.Millisecond,
+		CallerDelay:  3 * time.Millisecond,
+		ConnectDelay: 10 * time.Millisecond,
+		Slots:        3,
+		Connections:  40,
+		Hosts:        7,
+		Accounts: []AccountSpec{
+			{"bathafarn-shop-floor", "shop-floor-demo", 1000, 200},
+			{"bathafarn-buyers", "buyers-demo", 5000, 200},
+		},
+	}
+}
--- /dev/null
+++ b/internal/standin/endpoint/doc.go
@@ -0,0 +1,15 @@
+// Package endpoint is a small stand-in for one database of the platform's
+// database groups, used by the demo, the tests and the measurements.
+//
+// It speaks the PostgreSQL protocol, keeps its data in SQLite in memory, and
+// has what the system relies on: transactions, a log with terms and positions,
+// asynchronous replication, a fence, promotion, a connection limit and a
+// number of slots. It loses everything when its process ends.
+//
+// # Usage
+//
+//	n := &endpoint.Node{ID: "die-ledger-1-a", Slots: 3, Limit: 40, Clock: clock.New()}
+//	ln, err := net.Listen("tcp", "127.0.0.1:0")
+//	n.Start(ln)
+//	defer n.Stop()
+package endpoint
--- /dev/null
+++ b/internal/standin/endpoint/engine.go
@@ -0,0 +1,148 @@
+package endpoint
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"zombiezen.com/go/sqlite"
+)
+
+var engineCount atomic.Int64
+
+// engine is one SQLite database in memory: a writer and a pool of readers.
+type engine struct {
+	writer  *sqlite.Conn
+	writing chan struct{}
+	readers chan *sqlite.Conn
+	size    int
+}
+
+func newEngine(readers int) (*engine, error) {
+	uri := fmt.Sprintf("file:/cumintrestle-%d?vfs=memdb", engineCount.Add(1))
+	w, err := openConn(uri)
+	if err != nil {
+		return nil, err
+	}
+	e := &engine{writer: w, writing: make(chan struct{}, 1), readers: make(chan *sqlite.Conn, readers), size: readers}
+	for range readers {
+		r, err := openConn(uri)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := run(r, "PRAGMA query_only=1", nil); err != nil {
+			return nil, err
+		}
+		e.readers <- r
+	}
+	return e, nil
+}
+
+func openConn(uri string) (*sqlite.Conn, error) {
+	c, err := sqlite.OpenConn(uri, sqlite.OpenReadWrite|sqlite.OpenCreate|sqlite.OpenURI)
+	if err != nil {
+		return nil, fmt.Errorf("open engine: %w", err)
+	}
+	return c, nil
+}
+
+func (e *engine) close() {
+	for range e.size {
+		_ = (<-e.readers).Close()
+	}
+	e.writing <- struct{}{}
+	_ = e.writer.Close()
+}
+
+// rowSet is a statement's answer as text.
+type rowSet struct {
+	columns []string
+	rows    [][]*string
+	changes int
+}
+
+// run executes one statement on c.
+func run(c *sqlite.Conn, sql string, args []*string) (rowSet, error) {
+	stmt, err := c.Prepare(sql)
+	if err != nil {
+		return rowSet{}, fmt.Errorf("%w", err)
+	}
+	defer func() {
+		_ = stmt.Reset()
+		_ = stmt.ClearBindings()
+	}()
+	if err := bind(stmt, args); err != nil {
+		return rowSet{}, err
+	}
+	var rs rowSet
+	for i := range stmt.ColumnCount() {
+		rs.columns = append(rs.columns, stmt.ColumnName(i))
+	}
+	for {
+		more, err := stmt.Step()
+		if err != nil {
+			return rowSet{}, fmt.Errorf("%w", err)
+		}
+		if !more {
+			break
+		}
+		rs.rows = append(rs.rows, textRow(stmt))
+	}
+	rs.changes = c.Changes()
+	return rs, nil
+}
+
+func textRow(stmt *sqlite.Stmt) []*string {
+	row := make([]*string, stmt.ColumnCount())
+	for i := range row {
+		if stmt.ColumnIsNull(i) {
+			continue
+		}
+		s := stmt.ColumnText(i)
+		row[i] = &s
+	}
+	return row
+}
+
+// bind sets the parameters $1, $2 and so on. Text that is a whole number is
+// bound as one, for the parameters carry no types.
+func bind(stmt *sqlite.Stmt, args []*string) error {
+	for i := 1; i <= stmt.BindParamCount(); i++ {
+		n, err := strconv.Atoi(strings.TrimLeft(stmt.BindParamName(i), "$?"))
+		if err != nil || n < 1 || n > len(args) {
+			return fmt.Errorf("there is no parameter %s", stmt.BindParamName(i))
+		}
+		v := args[n-1]
+		if v == nil {
+			stmt.BindNull(i)
+			continue
+		}
+		if x, err := strconv.ParseInt(*v, 10, 64); err == nil && strconv.FormatInt(x, 10) == *v {
+			stmt.BindInt64(i, x)
+			continue
+		}
+		stmt.BindText(i, *v)
+	}
+	return nil
+}
+
+// apply runs the statements of one log entry as one transaction.
+func (e *engine) apply(stmts []statement) error {
+	if len(stmts) == 0 {
+		return nil
+	}
+	e.writing <- struct{}{}
+	defer func() { <-e.writing }()
+	if _, err := run(e.writer, "BEGIN IMMEDIATE", nil); err != nil {
+		return err
+	}
+	for _, s := range stmts {
+		if _, err := run(e.writer, s.SQL, s.Args); err != nil {
+			_, _ = run(e.writer, "ROLLBACK", nil)
+			return err
+		}
+	}
+	_, err := run(e.writer, "COMMIT", nil)
+	return err
+}
--- /dev/null
+++ b/internal/standin/endpoint/server.go
@@ -0,0 +1,198 @@
+package endpoint
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// ControlUser is the user of control sessions; they do not count against the
+// connection limit.
+const ControlUser = "cumintrestle_control"
+
+// ServiceUser is the user of the sessions that carry callers' statements.
+const ServiceUser = "cumintrestle"
+
+func (n *Node) acceptLoop(ln net.Listener) error {
+	n.t.Go(func() error {
+		<-n.t.Dying()
+		return ln.Close()
+	})
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return nil
+		}
+		n.t.Go(func() error {
+			n.serve(conn)
+			return nil
+		})
+	}
+}
+
+func (n *Node) serve(conn net.Conn) {
+	defer conn.Close()
+	be := pgproto3.NewBackend(conn, conn)
+	var start *pgproto3.StartupMessage
+	for start == nil {
+		m, err := be.ReceiveStartupMessage()
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := conn.Write([]byte("N")); err != nil {
+				return
+			}
+		case *pgproto3.CancelRequest:
+			n.cancel(m.ProcessID, binary.BigEndian.Uint32(m.SecretKey))
+			return
+		case *pgproto3.StartupMessage:
+			start = m
+		default:
+			return
+		}
+	}
+	s := &pgSession{node: n, conn: conn, be: be, done: make(chan struct{})}
+	s.control = start.Parameters["user"] == ControlUser
+	s.host, _, _ = strings.Cut(start.Parameters["application_name"], " ")
+	if err := s.authenticate(); err != nil {
+		return
+	}
+	if err := n.admit(s); err != nil {
+		s.fail("53300", err.Error())
+		_ = be.Flush()
+		return
+	}
+	defer n.dismiss(s)
+	s.run()
+}
+
+func (s *pgSession) authenticate() error {
+	s.be.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := s.be.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return fmt.Errorf("authentication: %w", err)
+	}
+	if err := s.be.Flush(); err != nil {
+		return fmt.Errorf("authentication: %w", err)
+	}
+	m, err := s.be.Receive()
+	if err != nil {
+		return fmt.Errorf("authentication: %w", err)
+	}
+	p, ok := m.(*pgproto3.PasswordMessage)
+	if !ok || subtle.ConstantTimeCompare([]byte(p.Password), []byte(s.node.Password)) != 1 {
+		s.fail("28P01", "password authentication failed")
+		_ = s.be.Flush()
+		return fmt.Errorf("authentication failed")
+	}
+	s.be.Send(&pgproto3.AuthenticationOk{})
+	return nil
+}
+
+// admit counts the session against the limit and gives it a process id.
+func (n *Node) admit(s *pgSession) error {
+	if !s.control && n.ConnectDelay > 0 {
+		select {
+		case <-n.Clock.After(n.ConnectDelay):
+		case <-n.t.Dying():
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held := 0
+	for _, o := range n.sessions {
+		if !o.control {
+			held++
+		}
+	}
+	if !s.control {
+		if n.evicted[s.host] {
+			return fmt.Errorf("host %s was evicted", s.host)
+		}
+		if n.leaving {
+			return fmt.Errorf("the endpoint is leaving")
+		}
+		if held >= n.Limit {
+			return fmt.Errorf("too many connections")
+		}
+		n.peak = max(n.peak, held+1)
+	}
+	n.nextPID++
+	s.pid = n.nextPID
+	secret := make([]byte, 4)
+	if _, err := rand.Read(secret); err != nil {
+		return fmt.Errorf("secret: %w", err)
+	}
+	s.secret = binary.BigEndian.Uint32(secret)
+	n.sessions[s.pid] = s
+	return nil
+}
+
+func (n *Node) dismiss(s *pgSession) {
+	n.mu.Lock()
+	delete(n.sessions, s.pid)
+	n.mu.Unlock()
+	close(s.done)
+	s.rollback()
+}
+
+// evict ends the data sessions of an entry host and refuses new ones.
+func (n *Node) evict(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.evicted[host] = true
+	for _, s := range n.sessions {
+		if !s.control && s.host == host {
+			_ = s.conn.Close()
+		}
+	}
+}
+
+// cancel interrupts the running statement of a session.
+func (n *Node) cancel(pid, secret uint32) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.sessions[pid]
+	if s == nil || s.secret != secret {
+		return
+	}
+	select {
+	case s.interrupt <- struct{}{}:
+	default:
+	}
+}
+
+// Held counts the data sessions held now.
+func (n *Node) Held() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	held := 0
+	for _, s := range n.sessions {
+		if !s.control {
+			held++
+		}
+	}
+	return held
+}
+
+func (s *pgSession) fail(state, text string) {
+	s.be.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: state, Message: text})
+}
+
+func quote(s string) string {
+	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
+}
+
+func tag(verb string, n int) string {
+	if verb == "INSERT" {
+		return "INSERT 0 " + strconv.Itoa(n)
+	}
+	return verb + " " + strconv.Itoa(n)
+}
