Command line, demo and status

Cause: nothing could be operated. A panic was found on the way: a status page asked for before the first event of a group indexed an empty view; TestQueriesBeforeFirstStep was seen red, then green.

--- /dev/null
+++ b/cmd/cumintrestle/main.go
@@ -0,0 +1,12 @@
+// Command cumintrestle is the entry host and its command line.
+package main
+
+import (
+	"os"
+
+	"github.com/cumintrestle/cumintrestle/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -200,7 +200,7 @@
 // repair tells an endpoint that does not follow the primary to do so.
 func (g *Group) repair(now time.Time, i int) {
 	v := &g.view[i]
-	if g.primary < 0 || i == g.primary || !v.known || v.status.Fenced > g.term {
+	if !g.hasPrimary() || i == g.primary || !v.known || v.status.Fenced > g.term {
 		return
 	}
 	if v.status.Follows == g.term && v.status.Role == Replica {
@@ -235,12 +235,15 @@
 // View returns what this host tells its peers of the group.
 func (g *Group) View(now time.Time) PeerView {
 	v := PeerView{Term: g.term, Reaches: g.reaches(now) >= g.majority(), HeardAge: time.Hour}
-	if g.primary >= 0 {
+	if g.hasPrimary() {
 		v.HeardAge = now.Sub(g.view[g.primary].heardAt)
 	}
 	return v
 }
 
+// hasPrimary reports whether a primary was ever seen.
+func (g *Group) hasPrimary() bool { return g.view != nil && g.primary >= 0 }
+
 // reaches counts the members heard lately.
 func (g *Group) reaches(now time.Time) int {
 	n := 0
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -114,7 +114,7 @@
 
 // Primary returns the endpoint that takes writes now, if one does.
 func (g *Group) Primary(now time.Time) (MemberID, session.Term, bool) {
-	if g.primary < 0 || !g.usable(now, g.primary) {
+	if !g.hasPrimary() || !g.usable(now, g.primary) {
 		return "", g.term, false
 	}
 	if !g.FreshEnough(now, g.view[g.primary].status, g.Timing.Confirm) {
--- a/internal/core/suspect.go
+++ b/internal/core/suspect.go
@@ -28,7 +28,7 @@
 // suspicion returns why the primary should be replaced now and since when
 // that has been so, or no cause.
 func (g *Group) suspicion(now time.Time) (Cause, time.Time) {
-	if g.primary < 0 || !g.leads(g.primary) || g.fencedAbove(now) {
+	if !g.hasPrimary() || !g.leads(g.primary) || g.fencedAbove(now) {
 		if g.noPrimaryAt.IsZero() {
 			g.noPrimaryAt = now
 		}
