--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -246,7 +246,9 @@
 }
 
 func isParseComplete(m pgproto3.BackendMessage) bool { _, ok := m.(*pgproto3.ParseComplete); return ok }
-func isBindComplete(m pgproto3.BackendMessage) bool  { _, ok := m.(*pgproto3.BindComplete); return ok }
+
+func isBindComplete(m pgproto3.BackendMessage) bool { _, ok := m.(*pgproto3.BindComplete); return ok }
+
 func isCloseComplete(m pgproto3.BackendMessage) bool { _, ok := m.(*pgproto3.CloseComplete); return ok }
 
 func isDescription(m pgproto3.BackendMessage) bool {
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -51,7 +51,7 @@
 	}
 	if found != nil {
 		l.giveBack(&answer{status: 'I'})
-		return c.replay(ctx, found, b.fingerprint())
+		return c.replay(found, b.fingerprint())
 	}
 	a, err := c.exchange(l.conn, b, false)
 	if err != nil {
@@ -59,7 +59,7 @@
 		return result.New(result.TransactionFailed, "the primary was lost before COMMIT was sent: %w", err)
 	}
 	if a.status != 'T' {
-		return c.unrecorded(ctx, l, a)
+		return c.unrecorded(l, a)
 	}
 	if err := c.saveAnswer(l, id, a.out); err != nil {
 		l.giveBack(nil)
@@ -80,7 +80,7 @@
 }
 
 // unrecorded ends a request that failed or ended the transaction itself.
-func (c *callerSession) unrecorded(ctx context.Context, l *lease, a *answer) error {
+func (c *callerSession) unrecorded(l *lease, a *answer) error {
 	if a.status == 'I' {
 		l.giveBack(a)
 		return result.New(result.OutcomeUnknown, "a request with an id must not end the transaction itself")
@@ -154,7 +154,7 @@
 }
 
 // replay answers a repeated request from its record.
-func (c *callerSession) replay(ctx context.Context, r *record, fingerprint string) error {
+func (c *callerSession) replay(r *record, fingerprint string) error {
 	if r.state == stateNotRun {
 		return result.New(result.RequestSettled, "request id %q was settled as not run", c.params.requestID)
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -180,7 +180,7 @@
 
 func (s *Server) serve(conn net.Conn) {
 	defer conn.Close()
-	ctx, stop := context.WithCancel(s.t.Context(nil))
+	ctx, stop := context.WithCancel(s.t.Context(context.Background()))
 	defer stop()
 	c := newSession(s, conn)
 	if err := c.start(); err != nil {
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -80,10 +80,17 @@
 		c.setIdle(true)
 		defer c.setIdle(false)
 	}
+	if c.tx != nil && !c.tx.lost {
+		_ = c.conn.SetReadDeadline(time.Now().Add(transactionIdle))
+		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	}
 	m, err := c.be.Receive()
 	if err == nil {
 		return m, nil
 	}
+	if c.tx != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, result.New(result.TransactionFailed, "the transaction was idle for %s and is rolled back", transactionIdle)
+	}
 	if first && errors.Is(err, os.ErrDeadlineExceeded) && c.wasNudged() {
 		return nil, result.New(result.ShuttingDown, "the entry host is shutting down; connect to another")
 	}
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -51,7 +51,7 @@
 
 // Run starts the watch and the poll; both end with t.
 func (c *Control) Run(t *tomb.Tomb) {
-	ctx := t.Context(nil)
+	ctx := t.Context(context.Background())
 	t.Go(func() error { return c.loop(ctx, c.poll) })
 	t.Go(func() error { return c.loop(ctx, c.watch) })
 }
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -46,7 +46,7 @@
 
 // Run starts watching the members.
 func (g *Group) Run() {
-	g.ctx = g.t.Context(nil)
+	g.ctx = g.t.Context(context.Background())
 	g.changed = make(chan struct{})
 	g.controls = make(map[core.MemberID]*Control)
 	g.pools = make(map[core.MemberID]*Pool)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	dialer := endpoint.Dialer{Host: string(h.id), Password: h.Settings.EndpointPassword, BindIP: h.Settings.BindIP}
-	h.ctx = h.t.Context(nil)
+	h.ctx = h.t.Context(context.Background())
 	h.groups = make(map[session.Group]*endpoint.Group)
 	h.state = declared.NewState()
 	h.metrics = newMetrics()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -141,7 +141,7 @@
 
 // Run serves peers on ln and connects to the seeds.
 func (m *Mesh) Run(ln net.Listener) {
-	m.ctx = m.t.Context(nil)
+	m.ctx = m.t.Context(context.Background())
 	m.links = make(map[string]*link)
 	m.seen = make(map[core.HostID]*Peer)
 	srv := &http.Server{Handler: http.HandlerFunc(m.accept), ReadHeaderTimeout: writeTimeout}
--- /dev/null
+++ b/internal/standin/endpoint/admin.go
@@ -0,0 +1,43 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/core"
+)
+
+// AdminState is the body of GET /standin/state.
+type AdminState struct {
+	Status core.MemberStatus `json:"status"`
+	Held   int               `json:"held"`
+	Peak   int               `json:"peak"`
+	Limit  int               `json:"limit"`
+}
+
+// AdminSettings is the body of PUT /standin/settings.
+type AdminSettings struct {
+	ApplyLagMS int64 `json:"apply_lag_ms"`
+	SendLagMS  int64 `json:"send_lag_ms"`
+	Leaving    bool  `json:"leaving"`
+}
+
+// AdminHandler serves the node's state and its faults over HTTP.
+func (n *Node) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/state", func(w http.ResponseWriter, _ *http.Request) {
+		s := AdminState{Status: n.Status(), Held: n.Held(), Peak: n.Peak(), Limit: n.Limit}
+		_ = json.NewEncoder(w).Encode(s)
+	})
+	mux.HandleFunc("PUT /standin/settings", func(w http.ResponseWriter, r *http.Request) {
+		var s AdminSettings
+		if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		n.SetLag(time.Duration(s.ApplyLagMS)*time.Millisecond, time.Duration(s.SendLagMS)*time.Millisecond)
+		n.SetLeaving(s.Leaving)
+	})
+	return mux
+}
--- a/internal/standin/endpoint/engine.go
+++ b/internal/standin/endpoint/engine.go
@@ -16,7 +16,6 @@
 	writer  *sqlite.Conn
 	writing chan struct{}
 	readers chan *sqlite.Conn
-	size    int
 }
 
 func newEngine(readers int) (*engine, error) {
@@ -25,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{writer: w, writing: make(chan struct{}, 1), readers: make(chan *sqlite.Conn, readers), size: readers}
+	e := &engine{writer: w, writing: make(chan struct{}, 1), readers: make(chan *sqlite.Conn, readers)}
 	for range readers {
 		r, err := openConn(uri)
 		if err != nil {
@@ -47,14 +46,6 @@
 	return c, nil
 }
 
-func (e *engine) close() {
-	for range e.size {
-		_ = (<-e.readers).Close()
-	}
-	e.writing <- struct{}{}
-	_ = e.writer.Close()
-}
-
 // rowSet is a statement's answer as text.
 type rowSet struct {
 	columns []string
--- a/internal/standin/endpoint/replication.go
+++ b/internal/standin/endpoint/replication.go
@@ -54,7 +54,7 @@
 }
 
 func (n *Node) followOnce(from string, req streamRequest) error {
-	ctx, cancel := context.WithCancel(n.t.Context(nil))
+	ctx, cancel := context.WithCancel(n.t.Context(context.Background()))
 	defer cancel()
 	conn, err := n.dialControl(ctx, from)
 	if err != nil {
