--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -218,6 +218,14 @@
 // Addresses returns where the host listens.
 func (h *Host) Addresses() Addresses { return h.addresses }
 
+// Template returns a template as this host has it in force.
+func (h *Host) Template(a template.Account) (template.Template, platform.Version, bool) {
+	return h.state.Account(a)
+}
+
+// PeerBytes counts the bytes sent to peers.
+func (h *Host) PeerBytes() int64 { return h.mesh.SentBytes() }
+
 // ID returns the name of this run of the host.
 func (h *Host) ID() core.HostID { return h.id }
 
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	dto "github.com/prometheus/client_model/go"
 
 	"github.com/cumintrestle/cumintrestle/internal/caller"
 	"github.com/cumintrestle/cumintrestle/internal/core"
@@ -122,3 +123,17 @@
 	}
 	return strconv.Itoa(int(o.Code)), o.Code.Family().String()
 }
+
+// Gather returns the current values of one metric.
+func (h *Host) Gather(name string) []*dto.Metric {
+	families, err := h.metrics.registry.Gather()
+	if err != nil {
+		return nil
+	}
+	for _, f := range families {
+		if f.GetName() == name {
+			return f.GetMetric()
+		}
+	}
+	return nil
+}
--- a/internal/standin/deploy/deploy.go
+++ b/internal/standin/deploy/deploy.go
@@ -58,6 +58,7 @@
 	platformSrv *http.Server
 	mu          sync.Mutex
 	nodes       map[core.MemberID]*endpoint.Node
+	addresses   map[core.MemberID]string
 	listeners   []net.Listener
 	hosts       []*host.Host
 	places      []core.Zone
@@ -78,7 +79,7 @@
 	if opts.Hosts > 0 {
 		spec.Hosts = opts.Hosts
 	}
-	d := &Deployment{Spec: spec, opts: opts, Rules: link.NewRules(), nodes: make(map[core.MemberID]*endpoint.Node)}
+	d := &Deployment{Spec: spec, opts: opts, Rules: link.NewRules(), nodes: make(map[core.MemberID]*endpoint.Node), addresses: make(map[core.MemberID]string)}
 	for i, a := range spec.Zones {
 		d.Rules.Place(zoneIP(i), string(a))
 		for _, b := range spec.Zones[:i] {
@@ -192,12 +193,16 @@
 		ConnectDelay: d.Spec.ConnectDelay, Bootstrap: primary, BindIP: ip, Clock: d.opts.Clock,
 	}
 	d.nodes[e.ID] = n
+	d.addresses[e.ID] = e.Address
 	if d.opts.NoDelay {
 		return e, n.Start(ln)
 	}
 	return e, n.Start(&link.Listener{Listener: ln, Zone: string(z), Rules: d.Rules})
 }
 
+// AddressOf returns where a member listens.
+func (d *Deployment) AddressOf(id core.MemberID) string { return d.addresses[id] }
+
 // Node returns a member's stand-in.
 func (d *Deployment) Node(id core.MemberID) *endpoint.Node { return d.nodes[id] }
 
--- a/internal/standin/endpoint/node.go
+++ b/internal/standin/endpoint/node.go
@@ -109,6 +109,13 @@
 	n.notify()
 }
 
+// Freeze stops the node in its tracks, as a paused process would, until the
+// returned function is called.
+func (n *Node) Freeze() (thaw func()) {
+	n.mu.Lock()
+	return n.mu.Unlock
+}
+
 // Peak returns the highest number of sessions held at once, without control
 // sessions.
 func (n *Node) Peak() int {
