--- a/cmd/cumintrestle-load/main.go
+++ b/cmd/cumintrestle-load/main.go
@@ -85,13 +85,13 @@
 // gapSummary sums up the runs of one fault.
 type gapSummary struct {
 	Fault      experiment.Fault `json:"fault"`
-	Runs       int        `json:"runs"`
-	MedianMS   float64    `json:"median_ms"`
-	MaxMS      float64    `json:"max_ms"`
-	Terms      int        `json:"terms"`
-	Unknown    int        `json:"unknown"`
-	Violations int        `json:"violations"`
-	Failed     int        `json:"failed"`
+	Runs       int              `json:"runs"`
+	MedianMS   float64          `json:"median_ms"`
+	MaxMS      float64          `json:"max_ms"`
+	Terms      int              `json:"terms"`
+	Unknown    int              `json:"unknown"`
+	Violations int              `json:"violations"`
+	Failed     int              `json:"failed"`
 }
 
 func gap(o options) error {
--- /dev/null
+++ b/internal/caller/caller_test.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/benbjohnson/clock"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cumintrestle/cumintrestle/internal/endpoint"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+	"github.com/cumintrestle/cumintrestle/pkg/template"
+)
+
+func TestClassify(t *testing.T) {
+	for _, c := range []struct {
+		sql  string
+		want statementClass
+	}{
+		{"SELECT 1", classRead},
+		{"  -- note\n select 1", classRead},
+		{"/* note */ WITH x AS (SELECT 1) SELECT * FROM x", classRead},
+		{"(SELECT 1)", classRead},
+		{"INSERT INTO a VALUES (1)", classWrite},
+		{"begin", classBegin},
+		{"START TRANSACTION READ ONLY", classBeginReadOnly},
+		{"begin read only", classBeginReadOnly},
+		{"COMMIT", classEnd},
+		{"SET cumintrestle.request_id = 'a'", classParam},
+		{"set cumintrestle.max_read_age to 300;", classParam},
+		{"SHOW cumintrestle.session_token", classParam},
+		{"RESET cumintrestle.request_id", classParam},
+		{"SET search_path = a", classRefused},
+		{"SET LOCAL search_path = a", classWrite},
+		{"LISTEN a", classRefused},
+		{"", classEmpty},
+		{";", classEmpty},
+	} {
+		if got := classify(c.sql); got != c.want {
+			t.Errorf("%q: got %d, want %d", c.sql, got, c.want)
+		}
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	b := &RetryBudget{PerSecond: 10, Burst: 3}
+	now := time.Unix(0, 0)
+	for i, want := range []bool{true, true, true, false} {
+		if got := b.Take(now); got != want {
+			t.Errorf("take %d: %t", i, got)
+		}
+	}
+	if !b.Take(now.Add(100 * time.Millisecond)) {
+		t.Error("the budget did not fill")
+	}
+}
+
+func testServer() *Server {
+	return &Server{
+		Account:       func(template.Account) (template.Template, bool) { return template.Template{}, false },
+		Group:         func(session.Group) *endpoint.Group { return nil },
+		Admit:         func(template.Account) error { return nil },
+		Leave:         func(template.Account) {},
+		ForwardCancel: func(uint32, uint32) {},
+		Observe:       func(Outcome) {},
+		Clock:         clock.New(),
+		Retries:       &RetryBudget{},
+		sessions:      make(map[sessionKey]*callerSession),
+	}
+}
+
+// FuzzStartup sends anything to a new connection: it must end, without a
+// panic, and never with an authenticated session.
+func FuzzStartup(f *testing.F) {
+	start := pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "a", "database": "b"}}
+	raw, err := start.Encode(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{0, 0, 0, 8, 4, 210, 22, 47})
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		here, there := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			testServer().serve(there)
+		}()
+		answer := make(chan string, 1)
+		go func() {
+			var all strings.Builder
+			buf := make([]byte, 4096)
+			for {
+				n, err := here.Read(buf)
+				all.Write(buf[:n])
+				if err != nil {
+					answer <- all.String()
+					return
+				}
+			}
+		}()
+		_ = here.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = here.Write(data)
+		time.AfterFunc(5*time.Millisecond, func() { _ = here.Close() })
+		<-done
+		if strings.Contains(<-answer, "Z\x00\x00\x00\x05I") {
+			t.Error("ready without authentication")
+		}
+	})
+}
--- a/internal/experiment/force.go
+++ b/internal/experiment/force.go
@@ -21,12 +21,12 @@
 
 // ForceRun is a measurement of how soon changes are in force everywhere.
 type ForceRun struct {
-	Changes   int     `json:"changes"`
-	Hosts     int     `json:"hosts"`
-	MedianMS  float64 `json:"median_ms"`
-	P99MS     float64 `json:"p99_ms"`
-	MaxMS     float64 `json:"max_ms"`
-	StoreMS   int64   `json:"store_delay_ms"`
+	Changes  int     `json:"changes"`
+	Hosts    int     `json:"hosts"`
+	MedianMS float64 `json:"median_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	MaxMS    float64 `json:"max_ms"`
+	StoreMS  int64   `json:"store_delay_ms"`
 }
 
 // Force applies changes one after the other and waits until every live host
