Failover: a control connection is kept ready, silent old primaries are broken off, replicas move at once

In the stand-in a replica that was told to follow waited out its silent old stream for up to 1 s, which held the first acknowledgement after a cut.

--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -99,11 +99,14 @@
 }
 
 // Silent lists the members that were heard once and are not any more.
-func (g *Group) Silent(now time.Time) []MemberID {
+func (g *Group) Silent(now time.Time) []MemberID { return g.SilentFor(now, memberFresh) }
+
+// SilentFor lists the members that were heard once, but not for d.
+func (g *Group) SilentFor(now time.Time, d time.Duration) []MemberID {
 	var out []MemberID
 	for i := range g.view {
 		v := &g.view[i]
-		if v.known && now.Sub(v.heardAt) >= memberFresh {
+		if v.known && now.Sub(v.heardAt) >= d {
 			out = append(out, g.Members[i].ID)
 		}
 	}
--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -22,6 +22,7 @@
 	pollInterval = 100 * time.Millisecond
 	pollTimeout  = 2 * time.Second
 	redialDelay  = 100 * time.Millisecond
+	readyCheck   = 5 * time.Second
 )
 
 // Control watches one member and carries out the actions meant for it. The
@@ -33,8 +34,9 @@
 	// Deliver takes the events that come from the member.
 	Deliver func(core.Event)
 
-	mu  sync.Mutex
-	rtt time.Duration
+	mu    sync.Mutex
+	rtt   time.Duration
+	ready *pgconn.PgConn
 }
 
 type controlRequest struct {
@@ -54,6 +56,7 @@
 	ctx := t.Context(context.Background())
 	t.Go(func() error { return c.loop(ctx, c.poll) })
 	t.Go(func() error { return c.loop(ctx, c.watch) })
+	t.Go(func() error { return c.keepReady(ctx) })
 }
 
 // RTT returns the smoothed time that a status question takes.
@@ -177,14 +180,65 @@
 }
 
 // once makes one call on a connection of its own: a call must not wait behind
-// a question that a frozen member does not answer.
+// a question that a frozen member does not answer. One connection is kept
+// ready, for setting one up takes several round trips in a failover.
 func (c *Control) once(ctx context.Context, name string, req controlRequest) (controlAnswer, error) {
-	conn, err := c.dial(ctx)
-	if err != nil {
-		return controlAnswer{}, err
+	conn := c.takeReady()
+	if conn == nil {
+		var err error
+		if conn, err = c.dial(ctx); err != nil {
+			return controlAnswer{}, err
+		}
 	}
-	defer closeConn(conn)
-	return call(ctx, conn, name, req)
+	a, err := call(ctx, conn, name, req)
+	if err != nil || !c.putReady(conn) {
+		closeConn(conn)
+	}
+	return a, err
+}
+
+func (c *Control) takeReady() *pgconn.PgConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.ready
+	c.ready = nil
+	return conn
+}
+
+// putReady keeps a connection for the next call, if none is kept.
+func (c *Control) putReady(conn *pgconn.PgConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ready != nil {
+		return false
+	}
+	c.ready = conn
+	return true
+}
+
+// keepReady makes sure that a connection is ready for the next call, and that
+// it still works.
+func (c *Control) keepReady(ctx context.Context) error {
+	for ctx.Err() == nil {
+		conn := c.takeReady()
+		if conn == nil {
+			conn, _ = c.dial(ctx)
+		}
+		if conn != nil {
+			_, err := call(ctx, conn, "status", controlRequest{})
+			if err != nil || !c.putReady(conn) {
+				closeConn(conn)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-c.Clock.After(readyCheck):
+		}
+	}
+	if conn := c.takeReady(); conn != nil {
+		closeConn(conn)
+	}
+	return nil
 }
 
 func call(ctx context.Context, conn *pgconn.PgConn, name string, req controlRequest) (controlAnswer, error) {
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// abortOld breaks what still runs on a primary that was replaced because it
+// was silent: nothing of its term is acknowledged any more.
+func (g *Group) abortOld() {
+	g.mu.Lock()
+	silent := g.Core.SilentFor(g.Clock.Now(), g.Core.Timing.Suspect)
+	g.mu.Unlock()
+	for _, id := range silent {
+		g.pools[id].Abort()
+	}
+}
+
 // abortSilent breaks the connections to members that are not heard any more,
 // and closes the idle ones to members that leave.
 func (g *Group) abortSilent() {
@@ -120,6 +131,7 @@
 func (g *Group) act(a core.Action) {
 	switch a := a.(type) {
 	case core.Announce:
+		g.abortOld()
 		if g.OnAnnounce != nil {
 			g.OnAnnounce(a)
 		}
--- a/internal/standin/endpoint/replication.go
+++ b/internal/standin/endpoint/replication.go
@@ -56,6 +56,7 @@
 func (n *Node) followOnce(from string, req streamRequest) error {
 	ctx, cancel := context.WithCancel(n.t.Context(context.Background()))
 	defer cancel()
+	go n.cancelWhenMoved(ctx, cancel, from, req.Term)
 	conn, err := n.dialControl(ctx, from)
 	if err != nil {
 		return err
@@ -90,6 +91,26 @@
 	}
 }
 
+// cancelWhenMoved ends a stream as soon as the node is to follow another
+// primary: one that is silent must not be waited for.
+func (n *Node) cancelWhenMoved(ctx context.Context, cancel context.CancelFunc, from string, term session.Term) {
+	for {
+		n.mu.Lock()
+		changed := n.changed
+		moved := n.from != from || n.follows != term
+		n.mu.Unlock()
+		if moved {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // receive takes one message of the stream, unless the node was fenced since.
 func (n *Node) receive(from string, m streamMessage) error {
 	n.mu.Lock()
