Promotion attempts are staggered from the moment when all grounds are there

Cause: in a traced freeze two hosts fenced at the same instant: the last ground, that no peer hears the primary, came to all when their own 500 ms and their stagger had passed already. With the old primary frozen each got one of the two members left, and both gave up for a second. Ruled out: the connections (one was ready), a refused promotion (the trace shows split fences). Tried and reverted: yielding 500 ms to a fence seen from another host; its test passed without it, as a majority fenced above the term defers an attempt already. Measured: TestAttemptsAreStaggered red (h1 and h2 both at 700 ms), then green.

--- a/internal/core/failover.go
+++ b/internal/core/failover.go
@@ -27,10 +27,17 @@
 		g.abandon(now)
 	}
 	cause, due := g.suspicion(now)
-	if cause == "" || now.Before(g.retryAt) || g.reaches(now) < g.quorum() {
+	if cause == "" || now.Before(due) || g.reaches(now) < g.quorum() {
+		g.suspectedAt = time.Time{}
 		return
 	}
-	if now.Before(due.Add(time.Duration(g.rank(now)) * g.Timing.Stagger)) {
+	// The wait for the hosts that go first starts when all grounds are there:
+	// the last of them may come to all hosts at the same moment.
+	if g.suspectedAt.IsZero() {
+		g.suspectedAt = now
+	}
+	turn := g.suspectedAt.Add(time.Duration(g.rank(now)) * g.Timing.Stagger)
+	if now.Before(turn) || now.Before(g.retryAt) {
 		return
 	}
 	g.begin(now, cause)
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -41,6 +41,7 @@
 	noPrimaryAt   time.Time
 	leavingAt     time.Time
 	isolatedAt    time.Time
+	suspectedAt   time.Time
 	lastStep      time.Time
 	out           []Action
 }
@@ -106,6 +107,7 @@
 	g.attempt = nil
 	g.noPrimaryAt = now
 	g.isolatedAt = time.Time{}
+	g.suspectedAt = time.Time{}
 	g.leavingAt = time.Time{}
 }
 
@@ -179,6 +181,7 @@
 	g.primary = i
 	g.isolatedAt = time.Time{}
 	g.leavingAt = time.Time{}
+	g.suspectedAt = time.Time{}
 	var cause Cause
 	if g.attempt != nil {
 		cause = g.attempt.cause
