Reads: wait only for a replica that will catch up in time; baselines and mix put right; stand-in readers no longer wait for transactions

Cause: with the primary-only baseline 12 sessions made 24 reads in 5 s. SQLite in memory lets no reader in while a transaction writes; the waiting readers kept both slots, so the transaction could not go on. Also: the random-replica baseline still looked at token and age; every read with a lag of 200 ms or more waited 30 ms for nothing; and all sessions wrote, which is not the portal's mix. Ruled out: the pools (idle connections stood unused while nothing moved).

--- a/internal/caller/read.go
+++ b/internal/caller/read.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
 	"github.com/cumintrestle/cumintrestle/pkg/result"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // ReadPolicy varies where reads go. The zero value is the product's own.
@@ -27,6 +29,9 @@
 	if c.srv.Reads.PrimaryOnly {
 		return c.write(ctx, b)
 	}
+	if c.srv.Reads.AnyReplica {
+		r.Need, r.MaxAge = session.Point{}, time.Hour
+	}
 	for {
 		choice, err := c.group.RouteRead(ctx, r, c.srv.ReadWait)
 		o.Lawful = o.Lawful || choice.Lawful
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -137,6 +137,7 @@
 	v.known = true
 	v.heardAt = now
 	v.lostAt = time.Time{}
+	v.noteLag(now)
 	if e.SentAt.After(v.askedAt) {
 		v.askedAt = e.SentAt
 	}
--- a/internal/core/member.go
+++ b/internal/core/member.go
@@ -83,10 +83,35 @@
 	askedAt time.Time
 	// lostAt is when the connection was lost, or zero.
 	lostAt time.Time
+	// behind is an entry that the endpoint held and had not applied at
+	// behindAt; lag is the time that it last took to apply such an entry.
+	behind   session.Position
+	behindAt time.Time
+	lag      time.Duration
 	// followSentAt limits how often the endpoint is told whom to follow.
 	followSentAt time.Time
 }
 
+// noteLag measures how long the endpoint takes to apply what it holds.
+func (v *memberView) noteLag(now time.Time) {
+	s := v.status
+	if v.behind > 0 && s.Applied >= v.behind {
+		v.lag = now.Sub(v.behindAt)
+		v.behind = 0
+	}
+	if v.behind == 0 && s.Applied < s.Last.Position {
+		v.behind, v.behindAt = s.Last.Position, now
+	}
+}
+
+// applyLag estimates how long an entry takes to be applied now.
+func (v *memberView) applyLag(now time.Time) time.Duration {
+	if v.behind > 0 {
+		return max(v.lag, now.Sub(v.behindAt))
+	}
+	return v.lag
+}
+
 func (v *memberView) heardWithin(now time.Time, d time.Duration) bool {
 	return v.known && v.lostAt.IsZero() && now.Sub(v.heardAt) < d
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -16,6 +16,8 @@
 	Zone   Zone
 	// Avoid lists members that already refused or failed this read.
 	Avoid []MemberID
+	// Patience is how long the read may wait for a replica to catch up.
+	Patience time.Duration
 	// Cost estimates the delay of a member; the least one that fits is taken.
 	Cost func(MemberID) time.Duration
 }
@@ -27,8 +29,8 @@
 	Replica bool
 	// Lawful is true when some replica could serve the read.
 	Lawful bool
-	// CatchingUp is true when a replica holds what the read needs but has not
-	// applied it yet.
+	// CatchingUp is true when a replica holds what the read needs and will
+	// soon have applied it.
 	CatchingUp bool
 }
 
@@ -41,7 +43,7 @@
 	for i := range g.view {
 		v := &g.view[i]
 		if !g.usable(now, i) || !v.status.Satisfies(r.Need) || !g.FreshEnough(now, v.status, r.MaxAge) {
-			c.CatchingUp = c.CatchingUp || g.catchingUp(now, i, r.Need)
+			c.CatchingUp = c.CatchingUp || g.catchingUp(now, i, r)
 			continue
 		}
 		id := g.Members[i].ID
@@ -118,12 +120,15 @@
 	return s.leads() && s.Last.Term == g.term
 }
 
-func (g *Group) catchingUp(now time.Time, i int, need session.Point) bool {
+// catchingUp reports whether a replica holds what the read needs and will
+// have applied it before the read's patience ends.
+func (g *Group) catchingUp(now time.Time, i int, r ReadRequest) bool {
 	v := &g.view[i]
-	if !g.usable(now, i) || v.status.Last.Term < need.Term {
+	if i == g.primary || !g.usable(now, i) || v.status.Last.Term < r.Need.Term {
 		return false
 	}
-	return v.status.Last.Position >= need.Position && v.status.Applied < need.Position
+	held := v.status.Last.Position >= r.Need.Position && v.status.Applied < r.Need.Position
+	return held && v.applyLag(now) < r.Patience
 }
 
 // Primary returns the endpoint that takes writes now, if one does.
--- a/internal/endpoint/group.go
+++ b/internal/endpoint/group.go
@@ -231,6 +231,7 @@
 // up is waited for as long as wait, which is cheaper than the primary's work.
 func (g *Group) RouteRead(ctx context.Context, r core.ReadRequest, wait time.Duration) (core.Choice, error) {
 	r.Zone = g.Zone
+	r.Patience = wait
 	r.Cost = func(id core.MemberID) time.Duration { return g.controls[id].RTT() + g.pools[id].Wait() }
 	timer := g.Clock.Timer(wait)
 	defer timer.Stop()
--- a/internal/experiment/reads.go
+++ b/internal/experiment/reads.go
@@ -19,7 +19,10 @@
 
 const (
 	readSessions = 12
-	readShare    = 0.9
+	// One session in four is a grower's: half its requests are orders. The
+	// others are the portal's: they only read, one grower's orders each.
+	growerEvery  = 4
+	growerReads  = 0.5
 	readThink    = 10 * time.Millisecond
 	histogramMax = int64(60 * time.Second / time.Microsecond)
 )
@@ -86,7 +89,7 @@
 	for n := range readSessions {
 		r := rand.New(rand.NewPCG(seed, uint64(n)))
 		s := &load.Session{
-			N: n, ReadShare: readShare, Think: readThink, Rand: r, History: h,
+			N: n + 1, ReadShare: 1, Watch: n/growerEvery*growerEvery + 1, Think: readThink, Rand: r, History: h,
 			URL: func() string {
 				return d.URL(hosts[r.IntN(len(hosts))], d.Spec.Accounts[1], d.Spec.Groups[0])
 			},
@@ -96,6 +99,9 @@
 				_ = took.RecordValue(t.Microseconds())
 			},
 		}
+		if n%growerEvery == 0 {
+			s.ReadShare, s.Watch = growerReads, load.Own
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -39,6 +39,8 @@
 	URL func() string
 	// ReadShare is the part of requests that are reads, from 0 to 1.
 	ReadShare float64
+	// Watch is the session whose orders are read; Own reads its own.
+	Watch int
 	// Think is the pause between two requests.
 	Think   time.Duration
 	Rand    *rand.Rand
@@ -173,7 +175,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := time.Now()
-	rows, err := s.conn.Query(ctx, "SELECT id FROM load_order WHERE session = $1", s.N)
+	rows, err := s.conn.Query(ctx, "SELECT id FROM load_order WHERE session = $1", s.watched())
 	if err != nil {
 		s.error(err)
 		s.dropBroken(err)
@@ -191,6 +193,17 @@
 	s.History.Read(s.compare(ids))
 }
 
+// Own makes a session read its own orders.
+const Own = 0
+
+// watched returns the session whose orders are read.
+func (s *Session) watched() int {
+	if s.Watch == Own {
+		return s.N
+	}
+	return s.Watch
+}
+
 // compare finds what a read lacks of what the session wrote and saw before.
 func (s *Session) compare(ids []string) history.Read {
 	r := history.Read{Session: s.N}
@@ -199,7 +212,7 @@
 		now[id] = true
 	}
 	for _, id := range s.acked {
-		if !now[id] {
+		if s.watched() == s.N && !now[id] {
 			r.Missing = append(r.Missing, id)
 		}
 	}
--- a/internal/standin/endpoint/engine.go
+++ b/internal/standin/endpoint/engine.go
@@ -11,22 +11,30 @@
 
 var engineCount atomic.Int64
 
-// engine is one SQLite database in memory: a writer and a pool of readers.
+// engine keeps the data twice, in two SQLite databases in memory. Transactions
+// run on the first; what they committed is applied to the second, which
+// readers see. SQLite in memory lets no reader in while a transaction writes,
+// and readers must not wait for the transactions of others.
 type engine struct {
 	writer  *sqlite.Conn
 	writing chan struct{}
+	applier *sqlite.Conn
 	readers chan *sqlite.Conn
 }
 
 func newEngine(readers int) (*engine, error) {
-	uri := fmt.Sprintf("file:/cumintrestle-%d?vfs=memdb", engineCount.Add(1))
-	w, err := openConn(uri)
+	w, err := openConn(newURI())
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{writer: w, writing: make(chan struct{}, 1), readers: make(chan *sqlite.Conn, readers)}
+	committed := newURI()
+	a, err := openConn(committed)
+	if err != nil {
+		return nil, err
+	}
+	e := &engine{writer: w, writing: make(chan struct{}, 1), applier: a, readers: make(chan *sqlite.Conn, readers)}
 	for range readers {
-		r, err := openConn(uri)
+		r, err := openConn(committed)
 		if err != nil {
 			return nil, err
 		}
@@ -38,6 +46,10 @@
 	return e, nil
 }
 
+func newURI() string {
+	return fmt.Sprintf("file:/cumintrestle-%d?vfs=memdb", engineCount.Add(1))
+}
+
 func openConn(uri string) (*sqlite.Conn, error) {
 	c, err := sqlite.OpenConn(uri, sqlite.OpenReadWrite|sqlite.OpenCreate|sqlite.OpenURI)
 	if err != nil {
@@ -120,20 +132,35 @@
 
 // apply runs the statements of one log entry as one transaction.
 func (e *engine) apply(stmts []statement) error {
+	e.writing <- struct{}{}
+	defer func() { <-e.writing }()
+	if err := replay(e.writer, stmts); err != nil {
+		return err
+	}
+	return replay(e.applier, stmts)
+}
+
+// commit ends the writer's transaction and shows it to readers.
+func (e *engine) commit(stmts []statement) error {
+	if _, err := run(e.writer, "COMMIT", nil); err != nil {
+		return err
+	}
+	return replay(e.applier, stmts)
+}
+
+func replay(c *sqlite.Conn, stmts []statement) error {
 	if len(stmts) == 0 {
 		return nil
 	}
-	e.writing <- struct{}{}
-	defer func() { <-e.writing }()
-	if _, err := run(e.writer, "BEGIN IMMEDIATE", nil); err != nil {
+	if _, err := run(c, "BEGIN IMMEDIATE", nil); err != nil {
 		return err
 	}
 	for _, s := range stmts {
-		if _, err := run(e.writer, s.SQL, s.Args); err != nil {
-			_, _ = run(e.writer, "ROLLBACK", nil)
+		if _, err := run(c, s.SQL, s.Args); err != nil {
+			_, _ = run(c, "ROLLBACK", nil)
 			return err
 		}
 	}
-	_, err := run(e.writer, "COMMIT", nil)
+	_, err := run(c, "COMMIT", nil)
 	return err
 }
--- a/internal/standin/endpoint/node.go
+++ b/internal/standin/endpoint/node.go
@@ -218,7 +218,7 @@
 	if n.engine != e || n.leads != term || n.fenced != term {
 		return errReadOnly
 	}
-	if _, err := run(e.writer, "COMMIT", nil); err != nil {
+	if err := e.commit(stmts); err != nil {
 		return err
 	}
 	n.log.append(term, stmts)
