--- a/internal/caller/transaction.go
+++ b/internal/caller/transaction.go
@@ -8,6 +8,7 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
 	"github.com/cumintrestle/cumintrestle/pkg/result"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // transactionIdle is how long a transaction may wait for its caller while it
@@ -23,6 +24,8 @@
 	// lost is true when the endpoint or the connection is gone; the caller
 	// still has to end the transaction.
 	lost bool
+	// need is what a read-only transaction has to see.
+	need session.Point
 	// requestID is recorded in the transaction, if it is not empty.
 	requestID string
 }
@@ -51,7 +54,7 @@
 		l.giveBack(a)
 		return c.acknowledge(ctx, a)
 	}
-	c.tx = &transaction{lease: l, status: a.status, readOnly: readOnly}
+	c.tx = &transaction{lease: l, status: a.status, readOnly: readOnly, need: c.params.token.Point(c.groupName)}
 	if c.params.requestID != "" && !readOnly {
 		if err := c.recordInTransaction(); err != nil {
 			c.dropTransaction()
@@ -103,8 +106,12 @@
 
 // endTransaction gives the connection back and acknowledges the end.
 func (c *callerSession) endTransaction(ctx context.Context, a *answer) error {
-	c.tx.lease.giveBack(a)
+	tx := c.tx
+	tx.lease.giveBack(a)
 	c.tx = nil
+	if tx.readOnly && a.hasPoint && !c.group.Sees(a.point, tx.need) {
+		return c.fail(result.New(result.NoFreshMember, "the replica fell behind what the session has seen"))
+	}
 	if err := c.acknowledge(ctx, a); err != nil {
 		return c.fail(err)
 	}
