A host that starts while the platform is down borrows from its peers

Cause: it had no share, so it refused every caller (TestDeclaredThroughPeers/it_serves_on_a_loan red with CT2008, then with CT2014: a loan given twice was returned and so evicted). Loans now bear a number, the same one is not returned, and idle hosts keep half their fair part. Ruled out: a loan under the borrower's own name; evicting a dead lender would then leave its loans above the limit.

--- a/internal/core/share.go
+++ b/internal/core/share.go
@@ -74,11 +74,17 @@
 	fair := s.fair(hosts)
 	want := min(max(demand, 1), s.Total)
 	next := Share{Run: run, N: own.N, Wants: want}
+	// What nobody wants is kept at hand up to half the fair part, so that
+	// there is something to lend while the table is down.
+	target := want
+	if !s.wanted(run) {
+		target = max(want, fair/2)
+	}
 	switch {
-	case want > own.N:
-		next.N = own.N + min(want-own.N, s.spare(own, hosts))
-	case want < own.N:
-		next.N = max(want, held)
+	case target > own.N:
+		next.N = own.N + min(target-own.N, s.spare(own, hosts))
+	case target < own.N:
+		next.N = max(target, held)
 	}
 	if next.N > fair && s.starved(run, fair) {
 		next.N = max(fair, held)
@@ -105,6 +111,20 @@
 	return max(0, s.Free()-max(0, without))
 }
 
+// wanted reports whether another run wants more than it has and nothing is
+// free for it.
+func (s Shares) wanted(run HostID) bool {
+	if s.Free() > 0 {
+		return false
+	}
+	for _, h := range s.Holders {
+		if h.Run != run && h.Wants > h.N {
+			return true
+		}
+	}
+	return false
+}
+
 // starved reports whether another run has less than its fair part and wants
 // more than it has, with nothing free for it.
 func (s Shares) starved(run HostID, fair int) bool {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -99,6 +99,8 @@
 	h.sharer = newSharer(h.table, h.id, h.Clock)
 	h.sharer.fixed = h.Settings.SharePolicy == settings.ShareFixed
 	h.sharer.hosts = h.liveHosts
+	h.sharer.peers = h.livePeers
+	h.sharer.send = func(to peer.Info, l peer.Loan) { h.mesh.SendLoan(to, l) }
 	h.caps.hurry = h.sharer.hurry
 	if err := h.listen(dialer); err != nil {
 		return err
@@ -163,6 +165,7 @@
 		Revision:    h.state.Revision,
 		Since:       h.state.Since,
 		OnRows:      func(rows []platform.Row, r platform.Revision) { h.merge(rows, r, "peer") },
+		OnLoan:      h.sharer.post,
 		OnCancel:    func(pid, secret uint32) { h.callers.Cancel(pid, secret) },
 	}
 	h.mesh.Run(ln)
@@ -279,6 +282,17 @@
 	return out
 }
 
+// livePeers lists the peers that are heard and stay.
+func (h *Host) livePeers() []peer.Info {
+	var out []peer.Info
+	for _, p := range h.mesh.Peers() {
+		if p.Live && !p.Leaving {
+			out = append(out, p.Info)
+		}
+	}
+	return out
+}
+
 func (h *Host) heartbeat() peer.Heartbeat {
 	hb := peer.Heartbeat{Revision: h.state.Revision()}
 	h.mu.Lock()
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -13,6 +13,7 @@
 	"github.com/benbjohnson/clock"
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
+	"github.com/cumintrestle/cumintrestle/internal/peer"
 	"github.com/cumintrestle/cumintrestle/internal/platform"
 )
 
@@ -37,10 +38,20 @@
 	setLimit func(n int, run core.HostID)
 	// evict makes sure that a run that is gone uses nothing any more.
 	evict func(ctx context.Context, run core.HostID) error
+	// byHost is true when only the host that uses a unit can end its use.
+	byHost bool
 
 	epoch  int
 	had    bool
 	recent []int
+	// own is this host's share as the table has it; cutOff is true when the
+	// table could not be written.
+	own    int
+	cutOff bool
+	lent   map[core.HostID]lentPart
+	loans  int
+	loan   *loan
+	asked  int
 }
 
 // sharer keeps this host's shares of all resources in the platform's table.
@@ -54,12 +65,16 @@
 	// hosts returns the live hosts, this one included.
 	hosts func() []core.HostID
 	fixed bool
+	// peers lists the live peers, and send talks to one.
+	peers func() []peer.Info
+	send  func(peer.Info, peer.Loan)
 
 	mu        sync.Mutex
 	resources map[string]*resource
 	rows      map[string]platform.Row
 	goneSince map[core.HostID]time.Time
 	kick      chan struct{}
+	mail      chan peer.Loan
 }
 
 func newSharer(table *platform.Client, self core.HostID, clk clock.Clock) *sharer {
@@ -71,6 +86,7 @@
 		rows:      make(map[string]platform.Row),
 		goneSince: make(map[core.HostID]time.Time),
 		kick:      make(chan struct{}, 1),
+		mail:      make(chan peer.Loan, loanQueue),
 	}
 }
 
@@ -133,6 +149,8 @@
 			return nil
 		case <-ticker.C:
 		case <-s.kick:
+		case m := <-s.mail:
+			s.takeLoan(ctx, m)
 		}
 	}
 }
@@ -171,17 +189,22 @@
 		r.had = false
 		return
 	}
+	r.own = own.N
+	if s.borrowed(r, own.N) {
+		return
+	}
 	if have && own.N > 0 {
 		r.had = true
-		r.setLimit(own.N, run)
+		r.setLimit(own.N-r.lentOut(), run)
 	}
+	s.reclaimLoans(ctx, r, hosts)
 	shares = s.reclaim(ctx, r, shares, hosts)
-	held := r.held()
+	held := r.held() + r.lentOut()
 	next := shares.Rebalance(run, s.smooth(r), held, len(hosts))
 	mine, _ := next.Of(run)
 	if mine.N < own.N {
-		r.setLimit(mine.N, run)
-		if r.held() > mine.N {
+		r.setLimit(mine.N-r.lentOut(), run)
+		if r.held()+r.lentOut() > mine.N {
 			return
 		}
 	}
@@ -190,7 +213,13 @@
 	}
 	if s.write(ctx, r, next, version) {
 		r.had = true
-		r.setLimit(mine.N, run)
+		r.own = mine.N
+		if !s.borrowed(r, mine.N) {
+			r.setLimit(mine.N-r.lentOut(), run)
+		}
+	}
+	if own.N == 0 && r.cutOff {
+		s.borrow(r)
 	}
 }
 
@@ -267,7 +296,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
+	r.cutOff = err != nil && !errors.As(err, &conflict)
+	if conflict != nil {
 		for _, row := range conflict.Rows {
 			s.note(row)
 		}
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -153,6 +153,7 @@
 			held:     func() int { return h.caps.held(name) },
 			setLimit: func(n int, _ core.HostID) { h.caps.setLimit(name, n) },
 			evict:    h.confirmGone,
+			byHost:   true,
 		})
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -75,6 +75,27 @@
 	Want      *want      `cbor:"2,keyasint,omitempty"`
 	Rows      *rows      `cbor:"3,keyasint,omitempty"`
 	Cancel    *cancel    `cbor:"4,keyasint,omitempty"`
+	Loan      *Loan      `cbor:"5,keyasint,omitempty"`
+}
+
+// LoanStep is a step in the loan of a share between two hosts.
+type LoanStep int
+
+// The steps of a loan.
+const (
+	LoanAsked LoanStep = iota + 1
+	LoanGiven
+	LoanReturned
+)
+
+// Loan is a message about lending a part of a share.
+type Loan struct {
+	Step LoanStep `cbor:"1,keyasint"`
+	From Info     `cbor:"2,keyasint"`
+	// Key names the resource, Run the name under which the loan is used.
+	Key string      `cbor:"3,keyasint"`
+	Run core.HostID `cbor:"4,keyasint,omitempty"`
+	N   int         `cbor:"5,keyasint,omitempty"`
 }
 
 // want asks for the declared rows after a revision.
@@ -113,6 +134,8 @@
 	Since func(platform.Revision) ([]platform.Row, platform.Revision)
 	// OnRows takes declared rows from a peer.
 	OnRows func([]platform.Row, platform.Revision)
+	// OnLoan takes a message about a loan.
+	OnLoan func(Loan)
 	// OnCancel takes a cancel request that another host got.
 	OnCancel func(pid, secret uint32)
 
@@ -191,6 +214,14 @@
 	m.broadcast(message{Cancel: &cancel{PID: pid, Secret: secret}})
 }
 
+// SendLoan sends a message about a loan to one peer.
+func (m *Mesh) SendLoan(to Info, l Loan) {
+	l.From = m.Self
+	if link := m.learn(to.Address); link != nil {
+		link.offer(message{Loan: &l})
+	}
+}
+
 // Beat sends a heartbeat at once, for instance after a change.
 func (m *Mesh) Beat() {
 	hb := m.Heartbeat()
@@ -378,6 +409,8 @@
 		}
 	case msg.Rows != nil:
 		m.OnRows(msg.Rows.Rows, msg.Rows.Revision)
+	case msg.Loan != nil:
+		m.OnLoan(*msg.Loan)
 	case msg.Cancel != nil:
 		m.OnCancel(msg.Cancel.PID, msg.Cancel.Secret)
 	}
--- a/internal/standin/deploy/operator_test.go
+++ b/internal/standin/deploy/operator_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/host"
 	"github.com/cumintrestle/cumintrestle/internal/operator"
-	"github.com/cumintrestle/cumintrestle/internal/settings"
 	"github.com/cumintrestle/cumintrestle/internal/standin/platform"
 	"github.com/cumintrestle/cumintrestle/pkg/result"
 	"github.com/cumintrestle/cumintrestle/pkg/template"
@@ -146,16 +145,65 @@
 	}
 	inForceOn(t, d.Hosts()[2], c.Template.Account, 1500)
 	d.Platform.SetFaults(platform.Faults{Down: true})
-	h, err := d.StartHost(d.Spec.Zones[1], func(s *settings.Settings) { s.StatementWaitMS = 300 })
+	h, err := d.StartHost(d.Spec.Zones[1], nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	inForceOn(t, h, c.Template.Account, 1500)
+	t.Run("it serves on a loan", func(t *testing.T) { servesOnLoan(t, d, h) })
+	d.Platform.SetFaults(platform.Faults{Down: true})
 	if r := apply(t, h, changed(t, d, 1800)); r.Code != result.PlatformDown {
 		t.Errorf("a change with the platform down: %+v", r)
 	}
 }
 
+// servesOnLoan checks that a host without shares of its own serves on what its
+// peers lend it, and goes over to its own when the platform is back.
+func servesOnLoan(t *testing.T, d *Deployment, h *host.Host) {
+	t.Helper()
+	conn, err := pgx.Connect(short(t), d.URL(h, d.Spec.Accounts[0], d.Spec.Groups[0]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close(context.Background())
+	exec(t, conn, "CREATE TABLE loan (id INTEGER)")
+	exec(t, conn, "INSERT INTO loan VALUES (1)")
+	exec(t, conn, "SELECT count(*) FROM loan")
+	d.Platform.SetFaults(platform.Faults{})
+	waitFor(t, "a share of its own", func() bool { return ownShares(t, d, string(h.ID())) >= 3 })
+	exec(t, conn, "INSERT INTO loan VALUES (2)")
+	for _, z := range d.Spec.Zones {
+		if n := d.Node(MemberOf(d.Spec.Groups[0], z)); n.Peak() > n.Limit {
+			t.Errorf("endpoint held %d connections, limit %d", n.Peak(), n.Limit)
+		}
+	}
+}
+
+// ownShares counts the endpoints of which the table gives a host a share.
+func ownShares(t *testing.T, d *Deployment, host string) int {
+	t.Helper()
+	resp, err := http.Get(d.PlatformURL() + "/v1/table/changes?prefix=share/endpoint/&since=0")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var a struct {
+		Rows []struct {
+			Value []byte `json:"value"`
+		} `json:"rows"`
+	}
+	if json.NewDecoder(resp.Body).Decode(&a) != nil {
+		return 0
+	}
+	n := 0
+	for _, r := range a.Rows {
+		if bytes.Contains(r.Value, []byte(`"`+host+"+")) {
+			n++
+		}
+	}
+	return n
+}
+
 func TestRetire(t *testing.T) {
 	d := start(t, Bathafarn(), Options{Groups: 1, Hosts: 2, NoDelay: true})
 	conn := connect(t, d, 1)
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -113,7 +113,7 @@
 		}
 	}
 	if !s.control {
-		if n.evicted[s.host] {
+		if n.isEvicted(s.host) {
 			return fmt.Errorf("host %s was evicted", s.host)
 		}
 		if n.leaving {
@@ -149,12 +149,19 @@
 	defer n.mu.Unlock()
 	n.evicted[host] = true
 	for _, s := range n.sessions {
-		if !s.control && s.host == host {
+		if !s.control && n.isEvicted(s.host) {
 			_ = s.conn.Close()
 		}
 	}
 }
 
+// isEvicted reports whether a run of a host was evicted, or the run that lent
+// it its share. The caller holds mu.
+func (n *Node) isEvicted(host string) bool {
+	lender, _, _ := strings.Cut(host, "/")
+	return n.evicted[host] || n.evicted[lender]
+}
+
 // cancel interrupts the running statement of a session.
 func (n *Node) cancel(pid, secret uint32) {
 	n.mu.Lock()
