--- a/cmd/cumintrestle-load/main.go
+++ b/cmd/cumintrestle-load/main.go
@@ -25,6 +25,8 @@
 	faults  string
 	clients int
 	idle    int
+	lags    string
+	reads   string
 }
 
 type measurement struct {
@@ -50,7 +52,8 @@
 }
 
 func run() error {
-	o := options{runs: 30, seed: 1, seconds: 5, faults: "kill,cut,freeze", clients: 8, idle: 150}
+	o := options{runs: 30, seed: 1, seconds: 5, faults: "kill,cut,freeze", clients: 8, idle: 150, lags: "0,50,200,1000,2000,5000"}
+	o.reads = strings.Join([]string{settings.ReadSession, settings.ReadPrimaryOnly, settings.ReadRandomReplica}, ",")
 	p := flaggy.NewParser("cumintrestle-load")
 	p.Description = "measures cumintrestle against stand-ins"
 	all := measurements()
@@ -62,6 +65,8 @@
 		subs[i].UInt64(&o.seed, "s", "seed", "first seed")
 		subs[i].Int(&o.seconds, "t", "seconds", "length of one run, in s")
 		subs[i].String(&o.faults, "", "faults", "kill, cut, freeze, none")
+		subs[i].String(&o.lags, "", "lags", "replica lags, in ms")
+		subs[i].String(&o.reads, "", "policies", "read policies")
 		subs[i].Int(&o.clients, "", "clients", "clients at once")
 		subs[i].Int(&o.idle, "", "idle", "idle connections")
 		p.AttachSubcommand(subs[i], 1)
@@ -121,11 +126,15 @@
 }
 
 func reads(o options) error {
-	for _, policy := range []string{settings.ReadSession, settings.ReadPrimaryOnly, settings.ReadRandomReplica} {
-		for _, lag := range []time.Duration{0, 50, 200, 1000, 2000, 5000} {
-			r, err := experiment.Reads(deploy.GazonSahel(), policy, lag*time.Millisecond, time.Duration(o.seconds)*time.Second, o.seed)
+	for _, policy := range strings.Split(o.reads, ",") {
+		for _, text := range strings.Split(o.lags, ",") {
+			lag, err := time.ParseDuration(text + "ms")
 			if err != nil {
-				return fmt.Errorf("%s, lag %d ms: %w", policy, lag, err)
+				return fmt.Errorf("lags: %w", err)
+			}
+			r, err := experiment.Reads(deploy.GazonSahel(), policy, lag, time.Duration(o.seconds)*time.Second, o.seed)
+			if err != nil {
+				return fmt.Errorf("%s, lag %s: %w", policy, lag, err)
 			}
 			printLine(r)
 		}
--- a/internal/caller/retry.go
+++ b/internal/caller/retry.go
@@ -39,5 +39,8 @@
 func (b *RetryBudget) Left() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.since.IsZero() {
+		return b.Burst
+	}
 	return b.have
 }
--- a/internal/cli/templates.go
+++ b/internal/cli/templates.go
@@ -51,7 +51,7 @@
 			err = t.Validate()
 		}
 		if err != nil {
-			return nil, result.New(result.CodeOf(err), "%s: %w", p, err)
+			return nil, result.New(result.CodeOf(err), "%s: %s", p, result.TextOf(err))
 		}
 		if other, ok := seen[t.Account]; ok {
 			return nil, result.New(result.TemplateInvalid, "%s: field account: value %s; allowed: an account that %s does not declare", p, t.Account, other)
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -256,6 +256,7 @@
 }
 
 func failed(c Change, err error) Result {
-	code := result.CodeOf(err)
-	return Result{Account: c.Template.Account, Code: code, Name: code.Info().Name, Text: err.Error()}
+	r := Result{Account: c.Template.Account, Code: result.CodeOf(err), Text: result.TextOf(err)}
+	r.Name = r.Code.Info().Name
+	return r
 }
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -155,6 +155,16 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// TextOf returns the text of the coded error in the chain of err, without its
+// code, or that of err itself.
+func TextOf(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Text
+	}
+	return err.Error()
+}
+
 // CodeOf returns the code in the chain of err, or 0.
 func CodeOf(err error) Code {
 	var e *Error
