--- a/internal/cli/templates.go
+++ b/internal/cli/templates.go
@@ -151,12 +151,17 @@
 	return p
 }
 
-func (a *app) diff() error {
+// planFiles loads the files and compares them with what is stored.
+func (a *app) planFiles() ([]planned, error) {
 	files, err := a.load()
 	if err != nil {
-		return err
+		return nil, err
 	}
-	plans, err := a.plan(files)
+	return a.plan(files)
+}
+
+func (a *app) diff() error {
+	plans, err := a.planFiles()
 	if err != nil {
 		return err
 	}
@@ -182,20 +187,13 @@
 }
 
 func (a *app) apply() error {
-	files, err := a.load()
-	if err != nil {
-		return err
+	if a.opts.dryRun {
+		return a.diff()
 	}
-	plans, err := a.plan(files)
+	plans, err := a.planFiles()
 	if err != nil {
 		return err
 	}
-	if a.opts.dryRun {
-		for _, p := range plans {
-			a.printPlan(p)
-		}
-		return nil
-	}
 	return a.change(plans)
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"crypto/subtle"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -27,12 +26,10 @@
 
 	"github.com/benbjohnson/clock"
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"gopkg.in/tomb.v2"
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
 	"github.com/cumintrestle/cumintrestle/internal/platform"
-	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 const (
@@ -45,76 +42,6 @@
 	sendQueue         = 64
 )
 
-// Info describes an entry host to its peers.
-type Info struct {
-	Host    core.HostID `json:"host" cbor:"1,keyasint"`
-	Zone    core.Zone   `json:"zone" cbor:"2,keyasint"`
-	Address string      `json:"address" cbor:"3,keyasint"`
-}
-
-// GroupView is one host's view of one database group.
-type GroupView struct {
-	Group   session.Group `cbor:"1,keyasint"`
-	Term    session.Term  `cbor:"2,keyasint"`
-	HeardMS int64         `cbor:"3,keyasint"`
-	Reaches bool          `cbor:"4,keyasint"`
-}
-
-// Heartbeat is what a host tells its peers again and again.
-type Heartbeat struct {
-	From     Info              `cbor:"1,keyasint"`
-	Revision platform.Revision `cbor:"2,keyasint"`
-	Leaving  bool              `cbor:"3,keyasint,omitempty"`
-	Groups   []GroupView       `cbor:"4,keyasint,omitempty"`
-	Known    []Info            `cbor:"5,keyasint,omitempty"`
-}
-
-// message is what goes over the wire; one field is set.
-type message struct {
-	Heartbeat *Heartbeat `cbor:"1,keyasint,omitempty"`
-	Want      *want      `cbor:"2,keyasint,omitempty"`
-	Rows      *rows      `cbor:"3,keyasint,omitempty"`
-	Cancel    *cancel    `cbor:"4,keyasint,omitempty"`
-	Loan      *Loan      `cbor:"5,keyasint,omitempty"`
-}
-
-// LoanStep is a step in the loan of a share between two hosts.
-type LoanStep int
-
-// The steps of a loan.
-const (
-	LoanAsked LoanStep = iota + 1
-	LoanGiven
-	LoanReturned
-)
-
-// Loan is a message about lending a part of a share.
-type Loan struct {
-	Step LoanStep `cbor:"1,keyasint"`
-	From Info     `cbor:"2,keyasint"`
-	// Key names the resource, Run the name under which the loan is used.
-	Key string      `cbor:"3,keyasint"`
-	Run core.HostID `cbor:"4,keyasint,omitempty"`
-	N   int         `cbor:"5,keyasint,omitempty"`
-}
-
-// want asks for the declared rows after a revision.
-type want struct {
-	From  Info              `cbor:"1,keyasint"`
-	Since platform.Revision `cbor:"2,keyasint"`
-}
-
-type rows struct {
-	Rows     []platform.Row    `cbor:"1,keyasint"`
-	Revision platform.Revision `cbor:"2,keyasint"`
-}
-
-// cancel passes on a caller's cancel request for a session of another host.
-type cancel struct {
-	PID    uint32 `cbor:"1,keyasint"`
-	Secret uint32 `cbor:"2,keyasint"`
-}
-
 // Mesh keeps the connections to all peers. The exported fields are set before
 // Run.
 type Mesh struct {
@@ -156,12 +83,6 @@
 	Revision platform.Revision `json:"revision"`
 }
 
-type link struct {
-	address string
-	send    chan message
-	cancel  context.CancelFunc
-}
-
 // Run serves peers on ln and connects to the seeds.
 func (m *Mesh) Run(ln net.Listener) {
 	m.ctx = m.t.Context(context.Background())
@@ -282,15 +203,6 @@
 	}
 }
 
-// offer queues a message; a link that does not keep up loses it, for the next
-// heartbeat says the same.
-func (l *link) offer(msg message) {
-	select {
-	case l.send <- msg:
-	default:
-	}
-}
-
 // learn opens a link to an address that is not known yet.
 func (m *Mesh) learn(address string) *link {
 	m.mu.Lock()
@@ -311,60 +223,6 @@
 	return l
 }
 
-func (m *Mesh) keep(ctx context.Context, l *link) {
-	for ctx.Err() == nil {
-		_ = m.connect(ctx, l)
-		select {
-		case <-ctx.Done():
-		case <-m.Clock.After(redialDelay):
-		}
-	}
-}
-
-func (m *Mesh) connect(ctx context.Context, l *link) error {
-	opts := &websocket.DialOptions{
-		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: m.DialContext}},
-		HTTPHeader: http.Header{"Authorization": {"Bearer " + m.Credential}},
-	}
-	dialCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	conn, resp, err := websocket.Dial(dialCtx, "ws://"+l.address+"/peer", opts)
-	if resp != nil && resp.Body != nil {
-		defer resp.Body.Close()
-	}
-	if err != nil {
-		return fmt.Errorf("peer %s: %w", l.address, err)
-	}
-	defer conn.CloseNow()
-	closed := conn.CloseRead(ctx)
-	for {
-		select {
-		case <-closed.Done():
-			return closed.Err()
-		case msg := <-l.send:
-			if err := m.write(ctx, conn, msg); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-func (m *Mesh) write(ctx context.Context, conn *websocket.Conn, msg message) error {
-	body, err := cbor.Marshal(msg)
-	if err != nil {
-		return fmt.Errorf("peer message: %w", err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := conn.Write(ctx, websocket.MessageBinary, body); err != nil {
-		return fmt.Errorf("peer: %w", err)
-	}
-	m.mu.Lock()
-	m.bytes += int64(len(body))
-	m.mu.Unlock()
-	return nil
-}
-
 func (m *Mesh) accept(w http.ResponseWriter, r *http.Request) {
 	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if r.URL.Path != "/peer" || subtle.ConstantTimeCompare([]byte(token), []byte(m.Credential)) != 1 {
@@ -390,14 +248,6 @@
 	}
 }
 
-func decode(body []byte) (message, error) {
-	var msg message
-	if err := cbor.Unmarshal(body, &msg); err != nil {
-		return message{}, fmt.Errorf("peer message: %w", err)
-	}
-	return msg, nil
-}
-
 func (m *Mesh) take(msg message) {
 	switch {
 	case msg.Heartbeat != nil:
