--- a/cmd/cumintrestle-load/main.go
+++ b/cmd/cumintrestle-load/main.go
@@ -40,6 +40,7 @@
 		{"reads", "share of reads served by replicas, Gazon Sahel's mix, lag swept", reads},
 		{"cost", "statements through an entry host against direct ones, on loopback", cost},
 		{"force", "time until a change is in force everywhere", force},
+		{"state", "memory of declared accounts", state},
 		{"control", "cost of control, swept over hosts and database groups", control},
 	}
 }
@@ -180,6 +181,17 @@
 	return nil
 }
 
+func state(options) error {
+	for _, n := range []int{1000, 10_000} {
+		r, err := experiment.State(n)
+		if err != nil {
+			return err
+		}
+		printLine(r)
+	}
+	return nil
+}
+
 func control(o options) error {
 	type point struct{ hosts, groups int }
 	for _, p := range []point{{2, 1}, {4, 1}, {8, 1}, {16, 1}, {4, 2}, {4, 3}} {
--- a/internal/experiment/force.go
+++ b/internal/experiment/force.go
@@ -71,7 +71,7 @@
 	if !ok {
 		return 0, fmt.Errorf("no template %s", account)
 	}
-	t.OldestReadMS = 1000 + int64(i)
+	t.OldestReadMS = 1001 + int64(i)
 	body, err := json.Marshal(operator.Change{OperationID: uuid.NewString(), Action: "change", Template: t, Base: version})
 	if err != nil {
 		return 0, fmt.Errorf("change: %w", err)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -40,6 +40,8 @@
 	liveFor           = 2 * time.Second
 	messageLimit      = 16 << 20
 	sendQueue         = 64
+	// knownEvery is the number of heartbeats between two lists of peers.
+	knownEvery = 50
 )
 
 // Mesh keeps the connections to all peers. The exported fields are set before
@@ -72,6 +74,8 @@
 	links map[string]*link
 	seen  map[core.HostID]*Peer
 	bytes int64
+	beats int
+	told  int
 }
 
 // Peer is a peer as last heard.
@@ -147,14 +151,30 @@
 func (m *Mesh) Beat() {
 	hb := m.Heartbeat()
 	hb.From = m.Self
-	for _, p := range m.Peers() {
-		if p.Live {
-			hb.Known = append(hb.Known, p.Info)
+	if m.tellKnown() {
+		for _, p := range m.Peers() {
+			if p.Live {
+				hb.Known = append(hb.Known, p.Info)
+			}
 		}
 	}
 	m.broadcast(message{Heartbeat: &hb})
 }
 
+// tellKnown reports whether this heartbeat lists the known peers: when their
+// number changed, and every few seconds. In each one, the list would make the
+// bytes that a host sends grow with the square of the number of hosts.
+func (m *Mesh) tellKnown() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.beats++
+	if len(m.seen) == m.told && m.beats%knownEvery != 0 {
+		return false
+	}
+	m.told = len(m.seen)
+	return true
+}
+
 func (m *Mesh) beat() error {
 	ticker := m.Clock.Ticker(heartbeatInterval)
 	defer ticker.Stop()
--- a/internal/standin/endpoint/control.go
+++ b/internal/standin/endpoint/control.go
@@ -123,7 +123,7 @@
 		case <-n.t.Dying():
 			return nil
 		case <-changed:
-		case <-n.Clock.After(streamHeartbeat):
+		case <-n.Clock.After(watchHeartbeat):
 		}
 	}
 }
--- a/internal/standin/endpoint/replication.go
+++ b/internal/standin/endpoint/replication.go
@@ -16,6 +16,7 @@
 
 const (
 	streamHeartbeat = 100 * time.Millisecond
+	watchHeartbeat  = time.Second
 	streamSilence   = time.Second
 	followRetry     = 50 * time.Millisecond
 )
