Requests of callers who cancelled or left no longer wait in the queue

Cause: callers that gave up while they waited left their requests in the queue; endpoints then ran them for nobody. With four callers that gave up every 40 ms the queue grew to 50 and the others got 8 to 10 answers in 2 s (TestAnswersNeverCross red: 'only 9 statements went through'). Ruled out: crossed answers (none), the shares (at the limit of 4), slots. Now a cancel ends the waits of a request with CT2018, and a caller that waited is looked at before its request is sent. The stand-in kept a cancel that came while nothing ran; as in PostgreSQL it now has no effect.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -48,6 +48,15 @@
 func (c *callerSession) dispatch(ctx context.Context, b *batch, class statementClass, o *Outcome) error {
 	ctx, cancel := context.WithTimeout(ctx, c.srv.StatementWait)
 	defer cancel()
+	c.waiting(cancel)
+	err := c.route(ctx, b, class, o)
+	if c.waiting(nil) && err != nil && result.CodeOf(err).Family() == result.NotRun {
+		return result.New(result.Cancelled, "the request was cancelled while it waited")
+	}
+	return err
+}
+
+func (c *callerSession) route(ctx context.Context, b *batch, class statementClass, o *Outcome) error {
 	once := c.params.requestID != "" && b.executes()
 	switch {
 	case class == classBegin || class == classBeginReadOnly || class == classEnd:
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -38,6 +38,10 @@
 	idle    bool
 	nudged  bool
 	current *endpoint.Conn
+	// abort ends the waits of the current request, and aborted tells that a
+	// cancel did so.
+	abort   context.CancelFunc
+	aborted bool
 }
 
 func newSession(s *Server, conn net.Conn) *callerSession {
@@ -122,10 +126,24 @@
 	return c.nudged
 }
 
-// cancel cancels what runs for the session now, if anything does.
+// waiting notes how the waits of the current request are ended, and reports
+// whether those of the last one were.
+func (c *callerSession) waiting(abort context.CancelFunc) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	aborted := c.aborted
+	c.abort, c.aborted = abort, false
+	return aborted
+}
+
+// cancel cancels what runs for the session now, or what waits to run.
 func (c *callerSession) cancel() {
 	c.mu.Lock()
 	conn := c.current
+	if conn == nil && c.abort != nil {
+		c.aborted = true
+		c.abort()
+	}
 	c.mu.Unlock()
 	if conn != nil {
 		_ = conn.Cancel(context.Background(), c.srv.Dialer)
--- a/internal/standin/endpoint/session.go
+++ b/internal/standin/endpoint/session.go
@@ -72,6 +72,11 @@
 }
 
 func (s *pgSession) handle(m pgproto3.FrontendMessage) bool {
+	// A cancel that came while nothing ran has no effect.
+	select {
+	case <-s.interrupt:
+	default:
+	}
 	switch m := m.(type) {
 	case *pgproto3.Terminate:
 		return false
--- a/pkg/result/code.go
+++ b/pkg/result/code.go
@@ -65,6 +65,7 @@
 	RequestIDReused    Code = 2015
 	RequestSettled     Code = 2016
 	TransactionFailed  Code = 2017
+	Cancelled          Code = 2018
 	TemplateInvalid    Code = 2101
 	NotApplied         Code = 2102
 	CredentialInvalid  Code = 2103
@@ -107,6 +108,7 @@
 	{RequestIDReused, "request_id_reused", "22023", "the request id was used with another statement"},
 	{RequestSettled, "request_settled", "40000", "the request id was settled as not run"},
 	{TransactionFailed, "transaction_failed", "40000", "the endpoint was lost inside the transaction before COMMIT was sent"},
+	{Cancelled, "cancelled", "57014", "the caller cancelled the request before it was sent to an endpoint"},
 	{TemplateInvalid, "template_invalid", "22023", "a template field has a value that is not allowed"},
 	{NotApplied, "not_applied", "40001", "the template changed since the version that the change names"},
 	{CredentialInvalid, "credential_invalid", "28000", "the operator credential is wrong"},
