--- a/internal/caller/doc.go
+++ b/internal/caller/doc.go
@@ -14,7 +14,8 @@
 //	cumintrestle.max_read_age   ms; tightens the template's oldest read
 //
 // SHOW cumintrestle.outcome settles the request id that is set: it answers
-// done or not_run, and a request that was answered not_run never runs.
+// done or not_run, and a request that was answered not_run never runs. The id is
+// then taken off the session.
 //
 // # Usage
 //
--- a/internal/caller/local.go
+++ b/internal/caller/local.go
@@ -73,7 +73,12 @@
 	if err := c.checkTemplate(); err != nil {
 		return "", err
 	}
-	return c.outcome(ctx)
+	outcome, err := c.outcome(ctx)
+	if err == nil {
+		// The id is settled: it must not be taken for the next request's.
+		c.params.requestID = ""
+	}
+	return outcome, err
 }
 
 func showRows() *pgproto3.RowDescription {
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/subtle"
 	"encoding/binary"
@@ -38,6 +39,7 @@
 
 func (n *Node) serve(conn net.Conn) {
 	defer conn.Close()
+	defer context.AfterFunc(n.t.Context(context.Background()), func() { _ = conn.Close() })()
 	be := pgproto3.NewBackend(conn, conn)
 	var start *pgproto3.StartupMessage
 	for start == nil {
