--- a/cmd/cumintrestle-load/main.go
+++ b/cmd/cumintrestle-load/main.go
@@ -40,6 +40,7 @@
 		{"reads", "share of reads served by replicas, Gazon Sahel's mix, lag swept", reads},
 		{"cost", "statements through an entry host against direct ones, on loopback", cost},
 		{"force", "time until a change is in force everywhere", force},
+		{"sharing", "ways to share scarce connections, all callers on one host", sharing},
 		{"state", "memory of declared accounts", state},
 		{"control", "cost of control, swept over hosts and database groups", control},
 	}
@@ -181,6 +182,17 @@
 	return nil
 }
 
+func sharing(o options) error {
+	for _, policy := range []string{settings.ShareLeased, settings.ShareFixed} {
+		r, err := experiment.Sharing(policy, time.Duration(o.seconds)*time.Second)
+		if err != nil {
+			return err
+		}
+		printLine(r)
+	}
+	return nil
+}
+
 func state(options) error {
 	for _, n := range []int{1000, 10_000} {
 		r, err := experiment.State(n)
--- /dev/null
+++ b/internal/experiment/sharing.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/cumintrestle/cumintrestle/internal/settings"
+	"github.com/cumintrestle/cumintrestle/internal/standin/deploy"
+)
+
+const (
+	// sharingClients all come to one entry host, as after a balancer's move.
+	sharingClients = 24
+	sharingQuery   = "SELECT pg_sleep(0.02)"
+)
+
+// SharingRun is what one entry host of several gets done when all callers come
+// to it.
+type SharingRun struct {
+	Policy     string  `json:"policy"`
+	Hosts      int     `json:"hosts"`
+	Statements int64   `json:"statements"`
+	PerSecond  float64 `json:"per_second"`
+	Refused    int64   `json:"refused"`
+	// PeakHeld is the highest number of connections that an endpoint held.
+	PeakHeld int `json:"peak_held"`
+	Limit    int `json:"limit"`
+}
+
+// Sharing measures a way to share the endpoints' connections. Slots are no
+// bound here, connections are.
+func Sharing(policy string, length time.Duration) (SharingRun, error) {
+	spec := deploy.GazonSahel()
+	spec.Slots = spec.Connections
+	run := SharingRun{Policy: policy, Hosts: spec.Hosts, Limit: spec.Connections}
+	d, err := deploy.Start(spec, deploy.Options{Groups: 1, NoDelay: true, Settings: func(s *settings.Settings) { s.SharePolicy = policy }})
+	if err != nil {
+		return run, fmt.Errorf("start: %w", err)
+	}
+	defer d.Stop()
+	var done, refused atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(length)
+	for range sharingClients {
+		conn, err := pgx.Connect(context.Background(), d.URL(d.Hosts()[0], spec.Accounts[1], spec.Groups[0]))
+		if err != nil {
+			return run, fmt.Errorf("connect: %w", err)
+		}
+		defer conn.Close(context.Background())
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for time.Now().Before(end) {
+				if _, err := conn.Exec(context.Background(), sharingQuery); err != nil {
+					refused.Add(1)
+					continue
+				}
+				done.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	run.Statements, run.Refused = done.Load(), refused.Load()
+	run.PerSecond = float64(run.Statements) / length.Seconds()
+	for _, z := range spec.Zones {
+		run.PeakHeld = max(run.PeakHeld, d.Node(deploy.MemberOf(spec.Groups[0], z)).Peak())
+	}
+	return run, nil
+}
