--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -105,6 +105,7 @@
 	if err := h.listen(dialer); err != nil {
 		return err
 	}
+	h.metrics.registry.MustRegister(collector{host: h})
 	h.t.Go(h.watchDeclared)
 	h.t.Go(func() error { return h.sharer.watch(h.ctx) })
 	h.t.Go(func() error { return h.sharer.run(h.ctx) })
--- a/internal/standin/deploy/operator_test.go
+++ b/internal/standin/deploy/operator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 
@@ -107,6 +108,7 @@
 			t.Errorf("%+v", r)
 		}
 	})
+	t.Run("metrics", func(t *testing.T) { metricsAnswer(t, d.Hosts()[0]) })
 	t.Run("credential", func(t *testing.T) {
 		resp, err := http.Get("http://" + d.Hosts()[0].Addresses().Operator + "/v1/status")
 		if err != nil {
@@ -119,6 +121,26 @@
 	})
 }
 
+func metricsAnswer(t *testing.T, h *host.Host) {
+	resp, err := http.Get("http://" + h.Addresses().Operator + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{
+		"cumintrestle_endpoint_share{", "cumintrestle_retry_budget ", "cumintrestle_declared_revision ",
+		"cumintrestle_term{", "cumintrestle_sessions ",
+	} {
+		if !bytes.Contains(body, []byte("\n"+name)) {
+			t.Errorf("/metrics lacks %s", name)
+		}
+	}
+}
+
 // The platform's answer is lost after the write took effect: the operator is
 // told applied, and the change took effect once.
 func TestLostAnswer(t *testing.T) {
