Dead code out; a heartbeat is encoded once; a share's row is decoded once a round

Cause: read as a whole. Nothing set or read Changer.OnApplied, the lease's term, the stand-in's run count and Dying; closeRecord could not fail, yet its failure was handled. A broadcast was encoded once for each peer. A round compared new shares with the row decoded a second time, which could be later than the version that it then wrote with. Ruled out: listing the live hosts once for all resources. A round may wait for an eviction, and the next would go by an old list.

--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -109,13 +109,12 @@
 // lendPrimary waits for the primary and for a connection to it.
 func (c *callerSession) lendPrimary(ctx context.Context) (*lease, error) {
 	for {
-		id, term, err := c.group.Primary(ctx)
+		id, _, err := c.group.Primary(ctx)
 		if err != nil {
 			return nil, err
 		}
 		l, err := c.lend(ctx, id, core.ClassWrite)
 		if err == nil {
-			l.term = term
 			return l, nil
 		}
 		if result.CodeOf(err) != result.EndpointRefused || !c.pause(ctx) {
--- a/internal/caller/lease.go
+++ b/internal/caller/lease.go
@@ -8,7 +8,6 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
 	"github.com/cumintrestle/cumintrestle/internal/endpoint"
-	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // longWait is the wait for a connection after which a caller may have left.
@@ -18,7 +17,6 @@
 type lease struct {
 	conn *endpoint.Conn
 	pool *endpoint.Pool
-	term session.Term
 }
 
 func (c *callerSession) lend(ctx context.Context, id core.MemberID, class core.Class) (*lease, error) {
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -245,12 +245,6 @@
 	return c.recordInTransaction()
 }
 
-// closeRecord takes the id off the session when its transaction ends.
-func (c *callerSession) closeRecord(*batch) error {
-	c.params.requestID = ""
-	return nil
-}
-
 // simple runs a statement of our own on a lent connection.
 func (c *callerSession) simple(l *lease, sql string) (*answer, error) {
 	return c.exchange(l.conn, &batch{simple: true, query: sql}, false)
--- a/internal/caller/transaction.go
+++ b/internal/caller/transaction.go
@@ -80,10 +80,8 @@
 		return c.afterLoss(b)
 	}
 	if tx.requestID != "" && b.mayCommit() && tx.status == 'T' {
-		if err := c.closeRecord(b); err != nil {
-			c.loseTransaction()
-			return c.fail(result.New(result.TransactionFailed, "the request record could not be closed: %w", err))
-		}
+		// The id is taken off the session when its transaction ends.
+		c.params.requestID = ""
 	}
 	a, err := c.exchange(tx.lease.conn, b, !b.mayCommit())
 	if err == errHangUp {
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -190,11 +190,11 @@
 		s.fixedSplit(r, hosts)
 		return
 	}
-	shares, version, ok := s.current(r)
+	read, version, ok := s.current(r)
 	if !ok {
 		return
 	}
-	own, have := shares.Of(s.runOf(r))
+	own, have := read.Of(s.runOf(r))
 	if s.evicted(r, have) {
 		return
 	}
@@ -207,8 +207,10 @@
 		s.use(r, own.N)
 	}
 	s.reclaimLoans(ctx, r, hosts)
-	shares = s.reclaim(ctx, r, shares, hosts)
-	s.rebalance(ctx, r, shares, version, len(hosts))
+	next := s.rebalance(r, s.reclaim(ctx, r, read, hosts), len(hosts))
+	if version == 0 || !equalShares(next, read) {
+		s.settle(ctx, r, next, version)
+	}
 	if own.N == 0 && r.cutOff {
 		s.borrow(r)
 	}
@@ -226,21 +228,21 @@
 	return true
 }
 
-// rebalance takes or gives back units. Those that are given back are not used
-// any more before the table hears of it.
-func (s *sharer) rebalance(ctx context.Context, r *resource, shares core.Shares, version platform.Version, hosts int) {
-	run := s.runOf(r)
-	next := shares.Rebalance(run, s.smooth(r), r.held()+r.lentOut(), hosts)
-	mine, _ := next.Of(run)
+// rebalance returns the shares as demand asks for them.
+func (s *sharer) rebalance(r *resource, shares core.Shares, hosts int) core.Shares {
+	return shares.Rebalance(s.runOf(r), s.smooth(r), r.held()+r.lentOut(), hosts)
+}
+
+// settle writes new shares. Units that are given back are not used any more
+// before the table hears of it.
+func (s *sharer) settle(ctx context.Context, r *resource, next core.Shares, version platform.Version) {
+	mine, _ := next.Of(s.runOf(r))
 	if mine.N < r.own {
 		s.use(r, mine.N)
 		if r.held()+r.lentOut() > mine.N {
 			return
 		}
 	}
-	if version > 0 && equalShares(next, s.decoded(r)) {
-		return
-	}
 	if !s.write(ctx, r, next, version) {
 		return
 	}
@@ -276,11 +278,6 @@
 	return sh, row.Version, true
 }
 
-func (s *sharer) decoded(r *resource) core.Shares {
-	sh, _, _ := s.current(r)
-	return sh
-}
-
 func equalShares(a, b core.Shares) bool {
 	return a.Total == b.Total && slices.Equal(a.Holders, b.Holders)
 }
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -83,8 +83,6 @@
 	Table Table
 	State *declared.State
 	Clock clock.Clock
-	// OnApplied is told the revision of an accepted change.
-	OnApplied func()
 }
 
 // Apply validates and writes one change.
@@ -207,7 +205,7 @@
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
-			return ch.applied(c, revision, diff)
+			return applied(c, revision, diff)
 		case errors.As(err, &conflict):
 			return ch.conflicted(ctx, c, diff, conflict)
 		}
@@ -225,7 +223,7 @@
 	var version platform.Version
 	for _, r := range e.Rows {
 		if r.Key == auditKey(c) {
-			return ch.applied(c, r.Revision, diff)
+			return applied(c, r.Revision, diff)
 		}
 		version = r.Version
 	}
@@ -238,14 +236,11 @@
 	if err != nil || len(rows) == 0 {
 		return false, Result{}
 	}
-	r := ch.applied(c, rows[0].Revision, nil)
+	r := applied(c, rows[0].Revision, nil)
 	return true, r
 }
 
-func (ch *Changer) applied(c Change, revision platform.Revision, diff []FieldChange) Result {
-	if ch.OnApplied != nil {
-		ch.OnApplied()
-	}
+func applied(c Change, revision platform.Revision, diff []FieldChange) Result {
 	r := ok(c, result.Applied, "accepted")
 	r.Revision, r.Difference, r.Version = revision, diff, c.Base+1
 	return r
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -6,21 +6,20 @@
 	"net/http"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 )
 
 // link is the outgoing connection to one peer.
 type link struct {
 	address string
-	send    chan message
+	send    chan []byte
 	cancel  context.CancelFunc
 }
 
 // offer queues a message; a link that does not keep up loses it, for the next
 // heartbeat says the same.
-func (l *link) offer(msg message) {
+func (l *link) offer(body []byte) {
 	select {
-	case l.send <- msg:
+	case l.send <- body:
 	default:
 	}
 }
@@ -55,19 +54,15 @@
 		select {
 		case <-closed.Done():
 			return closed.Err()
-		case msg := <-l.send:
-			if err := m.write(ctx, conn, msg); err != nil {
+		case body := <-l.send:
+			if err := m.write(ctx, conn, body); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-func (m *Mesh) write(ctx context.Context, conn *websocket.Conn, msg message) error {
-	body, err := cbor.Marshal(msg)
-	if err != nil {
-		return fmt.Errorf("peer message: %w", err)
-	}
+func (m *Mesh) write(ctx context.Context, conn *websocket.Conn, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := conn.Write(ctx, websocket.MessageBinary, body); err != nil {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -143,7 +143,7 @@
 func (m *Mesh) SendLoan(to Info, l Loan) {
 	l.From = m.Self
 	if link := m.learn(to.Address); link != nil {
-		link.offer(message{Loan: &l})
+		link.offer(message{Loan: &l}.encode())
 	}
 }
 
@@ -216,10 +216,11 @@
 }
 
 func (m *Mesh) broadcast(msg message) {
+	body := msg.encode()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, l := range m.links {
-		l.offer(msg)
+		l.offer(body)
 	}
 }
 
@@ -234,7 +235,7 @@
 		return l
 	}
 	ctx, stop := context.WithCancel(m.ctx)
-	l := &link{address: address, send: make(chan message, sendQueue), cancel: stop}
+	l := &link{address: address, send: make(chan []byte, sendQueue), cancel: stop}
 	m.links[address] = l
 	m.t.Go(func() error {
 		m.keep(ctx, l)
@@ -275,7 +276,7 @@
 	case msg.Want != nil:
 		if l := m.learn(msg.Want.From.Address); l != nil {
 			have, revision := m.Since(msg.Want.Since)
-			l.offer(message{Rows: &rows{Rows: have, Revision: revision}})
+			l.offer(message{Rows: &rows{Rows: have, Revision: revision}}.encode())
 		}
 	case msg.Rows != nil:
 		m.OnRows(msg.Rows.Rows, msg.Rows.Revision)
@@ -303,7 +304,7 @@
 		m.learn(k.Address)
 	}
 	if own := m.Revision(); l != nil && hb.Revision > own {
-		l.offer(message{Want: &want{From: m.Self, Since: own}})
+		l.offer(message{Want: &want{From: m.Self, Since: own}}.encode())
 	}
 	m.OnHeartbeat(hb)
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -80,6 +80,15 @@
 	Secret uint32 `cbor:"2,keyasint"`
 }
 
+// encode returns the message's bytes. No field of a message can fail to encode.
+func (msg message) encode() []byte {
+	body, err := cbor.Marshal(msg)
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
 func decode(body []byte) (message, error) {
 	var msg message
 	if err := cbor.Unmarshal(body, &msg); err != nil {
--- a/internal/standin/endpoint/node.go
+++ b/internal/standin/endpoint/node.go
@@ -47,7 +47,6 @@
 	nextPID  uint32
 	peak     int
 	slots    chan struct{}
-	runs     int64
 }
 
 // Start serves connections of ln until Stop.
@@ -88,9 +87,6 @@
 	return n.t.Wait()
 }
 
-// Dying is closed when the node stops.
-func (n *Node) Dying() <-chan struct{} { return n.t.Dying() }
-
 // SetLag sets how long entries wait before they are applied, and before they
 // are sent to replicas.
 func (n *Node) SetLag(apply, send time.Duration) {
--- a/internal/standin/endpoint/session.go
+++ b/internal/standin/endpoint/session.go
@@ -359,7 +359,6 @@
 	rs, err := run(s.engine.writer, sql, args)
 	if err == nil && verbOf(sql) != "SELECT" {
 		s.pending = append(s.pending, statement{SQL: sql, Args: args})
-		s.node.countRun()
 	}
 	return rs, err
 }
@@ -387,9 +386,3 @@
 	s.engine = nil
 	s.pending = nil
 }
-
-func (n *Node) countRun() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.runs++
-}
