--- /dev/null
+++ b/internal/engine/conn.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// maxPrepared bounds the prepared statements that are kept on one connection.
+const maxPrepared = 64
+
+// errSetup says that a connection could not be brought to a session's state.
+var errSetup = errors.New("connection refused the session's state")
+
+// OpKind is what is asked of an endpoint.
+type OpKind uint8
+
+// The requests to endpoints.
+const (
+	OpStatement OpKind = iota
+	OpExecute
+	OpBegin
+	OpBeginRead
+	OpRollback
+	OpReset
+	OpSet
+	OpPrepare
+	// OpStatus asks for the endpoint's report.
+	OpStatus
+	// OpPause makes a replica stop receiving, for a term above all known ones.
+	OpPause
+	// OpResume ends a pause.
+	OpResume
+	// OpDemote makes a primary of a lower term a replica.
+	OpDemote
+)
+
+// Op is one request to an endpoint.
+type Op struct {
+	Kind OpKind
+	// ID is the caller's, Text the statement's or the arguments of a prepared
+	// one; both are set for OpStatement and OpExecute only.
+	ID, Text string
+	// After is the log position that the endpoint must have, if any.
+	After session.Point
+	// Name and Value are those of a session value or a prepared statement.
+	Name, Value string
+	Shape       Shape
+	// Term is that of OpPause and OpDemote.
+	Term session.Term
+}
+
+// Conn is one connection to an endpoint. Its function fields are set by the
+// dialer; it belongs to one session at a time.
+type Conn struct {
+	Endpoint replicaset.EndpointID
+	// Do sends requests and returns their answers in order. After an error the
+	// connection is closed; the answers that arrived are returned with it.
+	Do func(deadline time.Time, ops ...Op) ([]Outcome, error)
+	// Close ends the connection at once.
+	Close func()
+
+	values   map[string]string
+	prepared map[Shape]string
+	broken   bool
+	idleFrom time.Time
+}
+
+// prepare lists what brings the connection to the session's values and knows
+// the given shapes.
+func (c *Conn) setup(values map[string]string, shape *Shape) []Op {
+	var ops []Op
+	if c.foreign(values) || len(c.prepared) >= maxPrepared {
+		ops = append(ops, Op{Kind: OpReset})
+		c.values, c.prepared = nil, nil
+	}
+	for name, v := range values {
+		if old, ok := c.values[name]; !ok || old != v {
+			ops = append(ops, Op{Kind: OpSet, Name: name, Value: v})
+		}
+	}
+	if shape != nil {
+		if _, ok := c.prepared[*shape]; !ok {
+			ops = append(ops, Op{Kind: OpPrepare, Name: c.nextName(), Shape: *shape})
+		}
+	}
+	return ops
+}
+
+// foreign reports whether the connection has a value that the session lacks.
+func (c *Conn) foreign(values map[string]string) bool {
+	for name := range c.values {
+		if _, ok := values[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Conn) nextName() string { return "c" + strconv.Itoa(len(c.prepared)) }
+
+// learned notes what a setup request that succeeded has changed.
+func (c *Conn) learned(op Op) {
+	switch op.Kind {
+	case OpSet:
+		if c.values == nil {
+			c.values = make(map[string]string)
+		}
+		c.values[op.Name] = op.Value
+	case OpPrepare:
+		if c.prepared == nil {
+			c.prepared = make(map[Shape]string)
+		}
+		c.prepared[op.Shape] = op.Name
+	}
+}
+
+// do runs requests and marks the connection broken on an error.
+func (c *Conn) do(deadline time.Time, ops ...Op) ([]Outcome, error) {
+	out, err := c.Do(deadline, ops...)
+	if err != nil {
+		c.broken = true
+	}
+	return out, err
+}
+
+// adopt brings the connection to a session's state, followed by further
+// requests of the engine. It fails unless all of them succeed.
+func (c *Conn) adopt(deadline time.Time, values map[string]string, shape *Shape, more ...Op) (Outcome, error) {
+	setup := c.setup(values, shape)
+	ops := append(setup, more...)
+	if len(ops) == 0 {
+		return Outcome{}, nil
+	}
+	out, err := c.do(deadline, ops...)
+	if err != nil {
+		return Outcome{}, err
+	}
+	for i, o := range out {
+		if o.Code != Done {
+			if i < len(setup) {
+				c.broken = true
+				return o, errSetup
+			}
+			return o, nil
+		}
+		c.learned(ops[i])
+	}
+	return out[len(out)-1], nil
+}
--- /dev/null
+++ b/internal/engine/control.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+)
+
+// Control asks an endpoint something for the engine's own sake, over an idle
+// connection or else over a new one beside the pool.
+func (e *Engine) Control(ctx context.Context, m replicaset.Member, op Op) (replicaset.Status, error) {
+	g := e.group(m.Group)
+	p := e.pool(g, m)
+	c, release, err := e.controlConn(ctx, p)
+	if err != nil {
+		return replicaset.Status{}, fmt.Errorf("connect to endpoint %s: %w", m.ID, err)
+	}
+	defer release()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = e.Now().Add(proofTimeout)
+	}
+	sentAt := e.Boot()
+	out, err := c.do(deadline, op)
+	if err != nil {
+		return replicaset.Status{}, fmt.Errorf("control of endpoint %s: %w", m.ID, err)
+	}
+	if o := out[0]; o.Code != Done {
+		return replicaset.Status{}, fmt.Errorf("endpoint %s answers %s: %s", m.ID, o.Code, o.Reason)
+	}
+	g.Answered(m.ID)
+	st := out[0].Report
+	if st.Role == replicaset.Primary {
+		g.LearnTerm(m.ID, st.Term)
+		e.sample(g, m, sentAt, out[0].Point)
+	}
+	return st, nil
+}
+
+func (e *Engine) controlConn(ctx context.Context, p *pool) (*Conn, func(), error) {
+	p.mu.Lock()
+	c := p.takeIdle(nil)
+	p.mu.Unlock()
+	if c != nil {
+		return c, func() { p.release(c) }, nil
+	}
+	c, err := e.Dial(ctx, p.member)
+	if err != nil {
+		return nil, nil, err
+	}
+	return c, c.Close, nil
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,219 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// Engine serves all sessions of one entry host. Exported fields are set before
+// the first session.
+type Engine struct {
+	Zone string
+	// Now reads the clock for timeouts.
+	Now func() time.Time
+	// Boot reads a clock that also counts suspended time.
+	Boot func() replicaset.Instant
+	// Dial opens a connection to an endpoint.
+	Dial func(ctx context.Context, m replicaset.Member) (*Conn, error)
+	// Event reports a decision; it must not block.
+	Event func(Event)
+
+	declared atomic.Pointer[Declared]
+	lease    atomic.Int64
+
+	mu     sync.Mutex
+	groups map[session.Group]*group
+	hosts  int
+}
+
+// Event is one decision about a statement or a belief.
+type Event struct {
+	Request  string
+	Group    session.Group
+	Endpoint replicaset.EndpointID
+	Decision string
+	Code     Code
+	Reason   string
+	Age      time.Duration
+	Point    session.Point
+	Took     time.Duration
+}
+
+// group is one database group with the connections to its members.
+type group struct {
+	*replicaset.Set
+
+	mu     sync.Mutex
+	pools  map[replicaset.EndpointID]*pool
+	policy GroupPolicy
+	proof  *proof
+}
+
+func (e *Engine) event(v Event) {
+	if e.Event != nil {
+		e.Event(v)
+	}
+}
+
+// Declared returns what is in force, or nil.
+func (e *Engine) Declared() *Declared { return e.declared.Load() }
+
+// Apply puts a newer declaration in force. An older one is ignored.
+func (e *Engine) Apply(d *Declared) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old := e.declared.Load(); old != nil && d.Version <= old.Version {
+		return false
+	}
+	e.declared.Store(d)
+	for name, g := range e.groups {
+		g.setPolicy(d.Groups[name], e.hosts)
+	}
+	return true
+}
+
+// SetHosts tells how many entry hosts share the connections.
+func (e *Engine) SetHosts(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hosts = max(n, 1)
+	for _, g := range e.groups {
+		g.setPolicy(g.policy, e.hosts)
+	}
+}
+
+// Group returns a group's members, making it when it is new.
+func (e *Engine) Group(name session.Group) *replicaset.Set { return e.group(name).Set }
+
+func (e *Engine) group(name session.Group) *group {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g, ok := e.groups[name]
+	if ok {
+		return g
+	}
+	g = &group{Set: replicaset.New(name, e.Zone), pools: make(map[replicaset.EndpointID]*pool)}
+	if d := e.declared.Load(); d != nil {
+		g.policy = d.Groups[name]
+	}
+	if e.groups == nil {
+		e.groups = make(map[session.Group]*group)
+	}
+	e.groups[name] = g
+	return g
+}
+
+// Groups returns all groups.
+func (e *Engine) Groups() []*replicaset.Set {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]*replicaset.Set, 0, len(e.groups))
+	for _, g := range e.groups {
+		all = append(all, g.Set)
+	}
+	return all
+}
+
+// Policy returns what is declared for a group.
+func (e *Engine) Policy(name session.Group) GroupPolicy {
+	if d := e.declared.Load(); d != nil {
+		return d.Groups[name]
+	}
+	return GroupPolicy{}
+}
+
+// Maintain forgets members that are gone and returns surplus connections. It is
+// called a few times a second.
+func (e *Engine) Maintain() {
+	now := e.Boot()
+	e.mu.Lock()
+	all := make([]*group, 0, len(e.groups))
+	for _, g := range e.groups {
+		all = append(all, g)
+	}
+	e.mu.Unlock()
+	for _, g := range all {
+		for _, id := range g.Expire(now) {
+			g.drop(id)
+		}
+		for _, p := range g.all() {
+			p.trim()
+		}
+	}
+}
+
+func (g *group) all() []*pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]*pool, 0, len(g.pools))
+	for _, p := range g.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (g *group) drop(id replicaset.EndpointID) {
+	g.mu.Lock()
+	p := g.pools[id]
+	delete(g.pools, id)
+	g.mu.Unlock()
+	if p != nil {
+		p.shut()
+	}
+}
+
+// pool returns the connections to a member. An endpoint that started anew, or
+// moved, gets a new pool.
+func (e *Engine) pool(g *group, m replicaset.Member) *pool {
+	e.mu.Lock()
+	hosts := e.hosts
+	e.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.pools[m.ID]
+	if ok && (p.member.Started != m.Started || p.member.Address != m.Address) {
+		go p.shut()
+		ok = false
+	}
+	if !ok {
+		p = &pool{member: m, dial: e.Dial, now: e.Now}
+		p.setShare(shares(g.policy.MaxConnections, hosts))
+		g.pools[m.ID] = p
+	}
+	return p
+}
+
+func (g *group) setPolicy(policy GroupPolicy, hosts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.policy = policy
+	for _, p := range g.pools {
+		p.setShare(shares(policy.MaxConnections, hosts))
+	}
+}
+
+// shares splits an endpoint's connections between the hosts. A host may borrow
+// beyond its share: the endpoint refuses truthfully what is too much.
+func shares(maxConnections, hosts int) (share, limit int) {
+	if maxConnections == 0 {
+		return 1, 2
+	}
+	share = max(maxConnections/max(hosts, 1), 1)
+	return share, min(2*share+2, maxConnections)
+}
+
+// Loads reports the connections held to each endpoint.
+func (e *Engine) Loads(report func(g session.Group, id replicaset.EndpointID, open, idle, waiting int)) {
+	for _, set := range e.Groups() {
+		g := e.group(set.Name)
+		for _, p := range g.all() {
+			open, idle, waiting := p.load()
+			report(set.Name, p.member.ID, open, idle, waiting)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/pool.go
@@ -0,0 +1,262 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+)
+
+const (
+	// dialTimeout bounds the set-up of one connection to an endpoint.
+	dialTimeout = 600 * time.Millisecond
+	// fullBackoff is how long a pool opens nothing after an endpoint had no
+	// connection to give.
+	fullBackoff = 250 * time.Millisecond
+	// surplusIdle is how long a connection above the host's share is kept.
+	surplusIdle = 400 * time.Millisecond
+)
+
+// errFull says that the endpoint has no connection left.
+var errFull = errors.New("endpoint has no connection left")
+
+// errNoConnection says that no connection became free in time.
+var errNoConnection = errors.New("no connection became free in time")
+
+// DialError is a refusal by the endpoint to open a connection.
+type DialError struct{ Code Code }
+
+// Error names the refusal.
+func (e *DialError) Error() string { return "endpoint refused a connection: " + e.Code.String() }
+
+type grant struct {
+	conn *Conn
+	open bool
+}
+
+type waiter struct {
+	ready chan grant
+	class int
+}
+
+// pool holds this host's connections to one endpoint.
+type pool struct {
+	member replicaset.Member
+	dial   func(ctx context.Context, m replicaset.Member) (*Conn, error)
+	now    func() time.Time
+
+	mu        sync.Mutex
+	idle      []*Conn
+	open      int
+	share     int
+	limit     int
+	fullUntil time.Time
+	waiting   []*waiter
+	closed    bool
+}
+
+// setShare sets how many connections the host may always hold, and how many it
+// may borrow while others leave theirs unused.
+func (p *pool) setShare(share, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share, p.limit = max(share, 1), max(limit, 1)
+}
+
+// acquire returns a connection, preferring one that has the given values.
+// Lower classes go first.
+func (p *pool) acquire(deadline time.Time, class int, values map[string]string) (*Conn, error) {
+	p.mu.Lock()
+	if c := p.takeIdle(values); c != nil {
+		p.mu.Unlock()
+		return c, nil
+	}
+	if p.mayOpen() {
+		p.open++
+		p.mu.Unlock()
+		return p.connect(deadline, class)
+	}
+	if p.closed || p.open == 0 {
+		p.mu.Unlock()
+		return nil, errFull
+	}
+	w := &waiter{ready: make(chan grant, 1), class: class}
+	p.push(w)
+	p.mu.Unlock()
+	return p.wait(w, deadline, class)
+}
+
+func (p *pool) wait(w *waiter, deadline time.Time, class int) (*Conn, error) {
+	t := time.NewTimer(deadline.Sub(p.now()))
+	defer t.Stop()
+	var g grant
+	select {
+	case g = <-w.ready:
+	case <-t.C:
+		if p.remove(w) {
+			return nil, errNoConnection
+		}
+		g = <-w.ready
+	}
+	if g.conn != nil {
+		return g.conn, nil
+	}
+	if g.open {
+		return p.connect(deadline, class)
+	}
+	return nil, errFull
+}
+
+func (p *pool) push(w *waiter) {
+	i := len(p.waiting)
+	for i > 0 && p.waiting[i-1].class > w.class {
+		i--
+	}
+	p.waiting = append(p.waiting, nil)
+	copy(p.waiting[i+1:], p.waiting[i:])
+	p.waiting[i] = w
+}
+
+func (p *pool) remove(w *waiter) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, o := range p.waiting {
+		if o == w {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pool) takeIdle(values map[string]string) *Conn {
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	best := n - 1
+	for i := n - 1; i >= 0; i-- {
+		if len(p.idle[i].setup(values, nil)) == 0 {
+			best = i
+			break
+		}
+	}
+	c := p.idle[best]
+	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	return c
+}
+
+func (p *pool) mayOpen() bool {
+	return !p.closed && p.open < p.limit && (p.open == 0 || p.now().After(p.fullUntil))
+}
+
+func (p *pool) connect(deadline time.Time, class int) (*Conn, error) {
+	if limit := p.now().Add(dialTimeout); deadline.After(limit) {
+		deadline = limit
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	c, err := p.dial(ctx, p.member)
+	if err == nil {
+		return c, nil
+	}
+	p.mu.Lock()
+	p.open--
+	var refused *DialError
+	full := errors.As(err, &refused) && refused.Code == TooManyConnections
+	if full {
+		p.fullUntil = p.now().Add(fullBackoff)
+	}
+	others := p.open
+	if !full || others == 0 {
+		p.failWaiters()
+		p.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{ready: make(chan grant, 1), class: class}
+	p.push(w)
+	p.mu.Unlock()
+	return p.wait(w, deadline, class)
+}
+
+// failWaiters sends those away who wait for connections that don't exist.
+func (p *pool) failWaiters() {
+	if p.open > 0 {
+		return
+	}
+	for _, w := range p.waiting {
+		w.ready <- grant{}
+	}
+	p.waiting = nil
+}
+
+// release hands a connection on.
+func (p *pool) release(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.broken || p.closed {
+		p.open--
+		c.Close()
+		if len(p.waiting) > 0 && p.mayOpen() {
+			p.open++
+			p.grantFirst(grant{open: true})
+		}
+		p.failWaiters()
+		return
+	}
+	if len(p.waiting) > 0 {
+		p.grantFirst(grant{conn: c})
+		return
+	}
+	c.idleFrom = p.now()
+	p.idle = append(p.idle, c)
+}
+
+func (p *pool) grantFirst(g grant) {
+	w := p.waiting[0]
+	p.waiting = p.waiting[1:]
+	w.ready <- g
+}
+
+// trim closes idle connections above the host's share.
+func (p *pool) trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && p.open > p.share && p.now().Sub(p.idle[0].idleFrom) > surplusIdle {
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
+// shut closes the pool; connections in use are closed when they are released.
+func (p *pool) shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.Close()
+		p.open--
+	}
+	p.idle = nil
+	p.failWaiters()
+}
+
+// dropIdle closes the idle connections, after one of them was found dead.
+func (p *pool) dropIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		c.Close()
+		p.open--
+	}
+	p.idle = nil
+}
+
+func (p *pool) load() (open, idle, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle), len(p.waiting)
+}
--- /dev/null
+++ b/internal/engine/run.go
@@ -0,0 +1,333 @@
+package engine
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// rollbackTimeout bounds the end of a transaction that its caller gave up.
+	rollbackTimeout = time.Second
+	// answerMargin is kept back from a statement's timeout for the answer's way.
+	answerMargin = 20 * time.Millisecond
+	// defaultTimeout limits a statement where nothing is declared.
+	defaultTimeout = time.Second
+	// attemptFloor is the least time that one attempt of a read gets.
+	attemptFloor = 250 * time.Millisecond
+	// attemptFactor is how many expected durations one attempt of a read gets.
+	attemptFactor = 8
+	// retryPause is the wait before the same members are tried again.
+	retryPause = 15 * time.Millisecond
+	// minAttempt is the least time in which an attempt is worth its start.
+	minAttempt = 10 * time.Millisecond
+)
+
+// The classes of those that wait for a connection, the first first.
+const (
+	classWrite = iota
+	classRead
+)
+
+// work is a statement with what the engine found out about it.
+type work struct {
+	Statement
+	writes bool
+	shape  *Shape
+}
+
+// op returns the request for an endpoint; a prepared statement goes by the
+// connection's own name for its shape.
+func (w work) op(c *Conn, after session.Point) Op {
+	if w.shape != nil {
+		return Op{Kind: OpExecute, ID: w.ID, Name: c.prepared[*w.shape], Text: w.Args, After: after}
+	}
+	return Op{Kind: OpStatement, ID: w.ID, Text: w.Text, After: after}
+}
+
+func (s *CallerSession) deadline(r Database) time.Time {
+	limit := r.StatementTimeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	return s.e.Now().Add(limit - answerMargin)
+}
+
+// single runs one statement outside of a transaction.
+func (s *CallerSession) single(w work) Outcome {
+	deadline := s.deadline(s.route)
+	g := s.e.group(s.route.Group)
+	if w.writes {
+		return s.singleWrite(g, w, deadline)
+	}
+	if s.route.Consistency == Latest {
+		return s.latestRead(g, w, deadline)
+	}
+	return s.staleRead(g, w, deadline)
+}
+
+// attempt is one try of a statement at one member.
+type attempt struct {
+	g      *group
+	member replicaset.Member
+	after  session.Point
+	class  int
+	// until bounds the wait for a connection, deadline the answer.
+	until, deadline time.Time
+}
+
+// at runs a statement on some connection of a member. sent tells whether the
+// endpoint may have got it.
+func (s *CallerSession) at(a attempt, w work) (o Outcome, sent bool, err error) {
+	p := s.e.pool(a.g, a.member)
+	c, err := p.acquire(a.until, a.class, s.values)
+	if err != nil {
+		s.noConnection(a, err)
+		return refusal(err), false, err
+	}
+	defer p.release(c)
+	if o, err = c.adopt(a.deadline, s.values, w.shape); err != nil || o.Code != Done {
+		s.broke(a, p)
+		return o, false, err
+	}
+	o, err = s.e.exchange(a, c, w.op(c, a.after))
+	if err != nil {
+		s.broke(a, p)
+	}
+	if o.Code == NoStatement {
+		c.broken = true
+	}
+	return o, true, err
+}
+
+// exchange sends one statement and notes what its answer tells.
+func (e *Engine) exchange(a attempt, c *Conn, op Op) (Outcome, error) {
+	sentAt := e.Boot()
+	a.g.Began(a.member.ID)
+	out, err := c.do(a.deadline, op)
+	now := e.Boot()
+	if err != nil {
+		a.g.Ended(now, a.member.ID, now.Sub(sentAt), false, session.Point{})
+		return Outcome{}, err
+	}
+	o := out[0]
+	a.g.Ended(now, a.member.ID, now.Sub(sentAt), true, o.Point)
+	e.sample(a.g, a.member, sentAt, o.Point)
+	return o, nil
+}
+
+// sample keeps a position of the primary if it was known to lead then.
+func (e *Engine) sample(g *group, m replicaset.Member, sentAt replicaset.Instant, p session.Point) {
+	if p != (session.Point{}) && e.leased() && g.Lead().ID == m.ID {
+		g.Sample(m.ID, sentAt, p)
+	}
+}
+
+// broke drops a member's idle connections, which broke with this one, or are
+// silent like it.
+func (s *CallerSession) broke(a attempt, p *pool) {
+	p.dropIdle()
+	a.g.Avoid(s.e.Boot(), a.member.ID)
+}
+
+func (s *CallerSession) noConnection(a attempt, err error) {
+	var refused *DialError
+	if !errors.Is(err, errNoConnection) && !errors.Is(err, errFull) && !errors.As(err, &refused) {
+		a.g.Avoid(s.e.Boot(), a.member.ID)
+	}
+	s.e.event(Event{Group: a.g.Name, Endpoint: a.member.ID, Decision: "no_connection", Reason: err.Error()})
+}
+
+func refusal(err error) Outcome {
+	var d *DialError
+	if errors.As(err, &d) && d.Code.NothingKept() {
+		return Outcome{Code: d.Code, Reason: err.Error()}
+	}
+	return Outcome{Code: Busy, Reason: err.Error()}
+}
+
+// staleRead runs a read that accepts some age at the best member that has what
+// the read needs.
+func (s *CallerSession) staleRead(g *group, w work, deadline time.Time) Outcome {
+	last := Outcome{Code: Busy, Reason: "no endpoint can serve the read"}
+	tried := make(map[replicaset.EndpointID]bool)
+	began := s.e.Boot()
+	for s.e.Now().Add(minAttempt).Before(deadline) {
+		need, ok := s.need(g, began, s.route)
+		if !ok {
+			return s.latestRead(g, w, deadline)
+		}
+		order := g.ReadOrder(s.e.Boot(), need, tried)
+		if len(order) == 0 {
+			clear(tried)
+			s.pause(g, deadline)
+			continue
+		}
+		m := order[0]
+		tried[m.ID] = true
+		a := s.readAttempt(g, m, deadline, len(order) > 1)
+		a.after = need
+		o, _, err := s.at(a, w)
+		if err == nil && !o.Code.notRun() && o.Code != Failed {
+			return o
+		}
+		s.retried(w, m, o, err)
+		if err == nil {
+			last = o
+		}
+	}
+	return s.giveUp(w, last)
+}
+
+// need is the log position for a read that begins at the given moment.
+func (s *CallerSession) need(g *group, began replicaset.Instant, r Database) (session.Point, bool) {
+	seen := session.Point{}
+	if r.Consistency == Session {
+		seen = s.seen[g.Name]
+	}
+	return g.Need(began, r.MaxAge-ageMargin, seen)
+}
+
+// readAttempt bounds one try of a read, so that another member can follow.
+func (s *CallerSession) readAttempt(g *group, m replicaset.Member, deadline time.Time, others bool) attempt {
+	a := attempt{g: g, member: m, class: classRead, until: deadline, deadline: deadline}
+	if !others {
+		return a
+	}
+	now := s.e.Now()
+	limit := now.Add(max(attemptFloor, attemptFactor*g.Latency(s.e.Boot(), m.ID)))
+	if limit.Before(deadline) {
+		a.until, a.deadline = limit, limit
+	}
+	return a
+}
+
+func (s *CallerSession) retried(w work, m replicaset.Member, o Outcome, err error) {
+	v := Event{Request: w.ID, Group: m.Group, Endpoint: m.ID, Decision: "retry", Code: o.Code, Reason: o.Reason}
+	if err != nil {
+		v.Reason = err.Error()
+	}
+	s.e.event(v)
+}
+
+// pause waits a moment, or for the group to change.
+func (s *CallerSession) pause(g *group, deadline time.Time) {
+	d := min(retryPause, deadline.Sub(s.e.Now()))
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-g.Changed():
+	case <-t.C:
+	}
+}
+
+// giveUp ends a statement of which nothing is kept.
+func (s *CallerSession) giveUp(w work, last Outcome) Outcome {
+	o := Outcome{Code: last.Code, Reason: last.Reason}
+	if !o.Code.NothingKept() {
+		o.Code = Busy
+	}
+	s.e.event(Event{Request: w.ID, Group: s.route.Group, Decision: "refused", Code: o.Code, Reason: o.Reason})
+	return o
+}
+
+// leader waits for a primary that is in charge.
+func (s *CallerSession) leader(g *group, deadline time.Time) (replicaset.Lead, replicaset.Member, bool) {
+	for {
+		lead := g.Lead()
+		changed := g.Changed()
+		if m, ok := g.Member(lead.ID); ok && !lead.Switching {
+			return lead, m, true
+		}
+		d := deadline.Sub(s.e.Now())
+		if d <= 0 {
+			return lead, replicaset.Member{}, false
+		}
+		t := time.NewTimer(d)
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// latestRead runs a read that sees all that was acknowledged before it.
+func (s *CallerSession) latestRead(g *group, w work, deadline time.Time) Outcome {
+	last := Outcome{Code: Busy, Reason: "no primary"}
+	for s.e.Now().Add(minAttempt).Before(deadline) {
+		lead, m, ok := s.leader(g, deadline)
+		if !ok {
+			break
+		}
+		if err := s.e.prove(g, lead); err != nil {
+			last = Outcome{Code: Busy, Reason: err.Error()}
+			s.retried(w, m, last, err)
+			s.pause(g, deadline)
+			continue
+		}
+		o, _, err := s.at(attempt{g: g, member: m, class: classRead, until: deadline, deadline: deadline}, w)
+		if err == nil && !o.Code.notRun() {
+			return o
+		}
+		if err == nil {
+			last = o
+		}
+		s.retried(w, m, o, err)
+		s.pause(g, deadline)
+	}
+	return s.giveUp(w, last)
+}
+
+// singleWrite runs a write, once.
+func (s *CallerSession) singleWrite(g *group, w work, deadline time.Time) Outcome {
+	last := Outcome{Code: Busy, Reason: "no primary"}
+	for s.e.Now().Add(minAttempt).Before(deadline) {
+		lead, m, ok := s.leader(g, deadline)
+		if !ok {
+			break
+		}
+		if err := s.e.prove(g, lead); err != nil {
+			last = Outcome{Code: Busy, Reason: err.Error()}
+			s.retried(w, m, last, err)
+			s.pause(g, deadline)
+			continue
+		}
+		o, sent, err := s.at(attempt{g: g, member: m, class: classWrite, until: deadline, deadline: deadline}, w)
+		if err == nil && !o.Code.notRun() {
+			g.Committed(s.e.Boot(), true)
+			return s.acknowledge(g, lead, w, o)
+		}
+		if err != nil && sent {
+			g.Committed(s.e.Boot(), false)
+			return s.inDoubt(w, m, err)
+		}
+		if err == nil {
+			last = o
+		}
+		s.retried(w, m, o, err)
+		s.pause(g, deadline)
+	}
+	return s.giveUp(w, last)
+}
+
+// acknowledge passes a commit's answer on if no promotion can have begun
+// before it was made.
+func (s *CallerSession) acknowledge(g *group, lead replicaset.Lead, w work, o Outcome) Outcome {
+	if o.Code != Done {
+		return o
+	}
+	if err := s.e.prove(g, lead); err != nil {
+		return s.inDoubt(w, replicaset.Member{ID: lead.ID, Group: g.Name}, err)
+	}
+	s.see(g.Name, o.Point)
+	g.Acknowledge(o.Point)
+	return o
+}
+
+func (s *CallerSession) inDoubt(w work, m replicaset.Member, err error) Outcome {
+	s.e.event(Event{Request: w.ID, Group: m.Group, Endpoint: m.ID, Decision: "in_doubt", Code: InDoubt, Reason: err.Error()})
+	return Outcome{Code: InDoubt, Reason: err.Error()}
+}
--- /dev/null
+++ b/internal/failover/switch.go
@@ -0,0 +1,343 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+)
+
+const (
+	// dutyMargin is how long after the end of a lease the next holder starts:
+	// longer than a call of the last one can be on its way.
+	dutyMargin = 1500 * time.Millisecond
+	// callMargin is the least lease that must be left to send a promote call.
+	callMargin = 1500 * time.Millisecond
+	// promoteTimeout bounds one promote call; its connection is reset after it.
+	promoteTimeout = time.Second
+	// effectTimeout is how long a promotion may take to show.
+	effectTimeout = 4 * time.Second
+	// pollEvery is the pause between two questions while something is awaited.
+	pollEvery = 60 * time.Millisecond
+	// settleTime lets statements end that run at a primary that leaves.
+	settleTime = 100 * time.Millisecond
+	// gatherTime is how long all replicas are tried before the switch is left
+	// to a later try.
+	gatherTime = 2500 * time.Millisecond
+)
+
+var errDutyHeld = errors.New("another host holds the duty")
+
+// run is one switch under way.
+type run struct {
+	*Manager
+	set     *replicaset.Set
+	reason  string
+	old     replicaset.Lead
+	duty    Duty
+	claimed replicaset.Instant
+	// sent is set once a promotion may take effect: the old primary must not
+	// be trusted again then.
+	sent bool
+}
+
+// switchover replaces a group's primary.
+func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, reason string) {
+	r := &run{Manager: m, set: set, reason: reason}
+	r.learnTerm(ctx)
+	if err := r.claim(ctx); err != nil {
+		m.event(set.Name, "", "switch_not_started", err.Error())
+		return
+	}
+	m.event(set.Name, r.old.ID, "switch_started", fmt.Sprintf("%s, token %d", reason, r.duty.Token))
+	next, err := r.replace(ctx)
+	if err != nil {
+		m.event(set.Name, r.old.ID, "switch_failed", err.Error())
+		if !r.sent {
+			r.ask(ctx, r.replicas(), engine.Op{Kind: engine.OpResume})
+			r.settle(ctx, r.old)
+		}
+		return
+	}
+	m.event(set.Name, next.ID, "switched", fmt.Sprintf("%s, term %d, token %d", reason, next.Term, r.duty.Token))
+	r.settle(ctx, next)
+	r.tidy(ctx, next)
+}
+
+// claim takes the duty and records that the group is switching.
+func (r *run) claim(ctx context.Context) error {
+	before := r.Engine.Boot()
+	st, err := r.Records.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read the records: %w", err)
+	}
+	if st.Duty.Holder != "" && st.Duty.Holder != r.Self && st.Now <= st.Duty.Until+dutyMargin {
+		return errDutyHeld
+	}
+	d := st.Duty
+	if d.Holder != r.Self || st.Now > d.Until {
+		d.Token++
+	}
+	d.Holder, d.Until = r.Self, st.Now+dutyTime
+	r.old = st.Leads[r.set.Name]
+	if known := r.set.Lead(); r.old.ID == "" || r.old.ID == known.ID && r.old.Term == 0 {
+		r.old.ID, r.old.Term = known.ID, known.Term
+	}
+	lead := r.old
+	lead.Switching, lead.Token, lead.Holder = true, d.Token, r.Self
+	version, err := r.Records.Write(ctx, Change{Duty: d, Group: r.set.Name, Lead: lead})
+	if err != nil {
+		return fmt.Errorf("record the switch: %w", err)
+	}
+	d.Version, lead.Version = version, version
+	r.duty, r.claimed = d, before
+	r.Observe(d, st.Now, before)
+	r.set.SetLead(lead)
+	return nil
+}
+
+// learnTerm finds out the term that is to end, from any member that answers.
+func (r *run) learnTerm(ctx context.Context) {
+	lead := r.set.Lead()
+	if lead.Term != 0 {
+		return
+	}
+	for _, st := range r.ask(ctx, r.set.Members(), engine.Op{Kind: engine.OpStatus}) {
+		r.set.LearnTerm(lead.ID, st.Term)
+	}
+}
+
+// leaseLeft is how long the duty is still held.
+func (r *run) leaseLeft() time.Duration {
+	return dutyTime - r.Engine.Boot().Sub(r.claimed)
+}
+
+// replace makes another member the primary.
+func (r *run) replace(ctx context.Context) (replicaset.Lead, error) {
+	r.awaitHosts(ctx, r.Engine.Boot())
+	if r.recovered(ctx) {
+		return replicaset.Lead{}, errors.New("the old primary answers again")
+	}
+	if r.reason == reasonDraining && !sleep(ctx, settleTime) {
+		return replicaset.Lead{}, ctx.Err()
+	}
+	if lead, ok := r.already(ctx); ok {
+		return lead, nil
+	}
+	reports, err := r.gather(ctx)
+	if err != nil {
+		return replicaset.Lead{}, err
+	}
+	candidate, ok := r.furthest(reports)
+	if !ok {
+		return replicaset.Lead{}, errors.New("no replica can lead")
+	}
+	return r.promote(ctx, candidate, reports[candidate])
+}
+
+// awaitHosts waits until no host can hold a lease from before the switch.
+func (r *run) awaitHosts(ctx context.Context, written replicaset.Instant) {
+	version := r.set.Lead().Version
+	for r.Engine.Boot().Sub(written) < engine.LeaseTime {
+		seen, err := r.Records.Confirmed(ctx, r.set.Name, version)
+		if err == nil && includes(seen, r.Records.Hosts(), r.Self) {
+			return
+		}
+		if !sleep(ctx, pollEvery) {
+			return
+		}
+	}
+}
+
+func includes(seen, all []string, self string) bool {
+	for _, h := range all {
+		if h != self && !slices.Contains(seen, h) {
+			return false
+		}
+	}
+	return true
+}
+
+// recovered reports whether a primary that was taken for dead leads after all.
+func (r *run) recovered(ctx context.Context) bool {
+	if r.reason != reasonSilent && r.reason != reasonGone {
+		return false
+	}
+	v := r.survey(ctx, r.set, r.old)
+	return v.primary && v.hears
+}
+
+// gather pauses all replicas and returns their reports. Each one that may hold
+// the only other copy of a commit has to answer.
+func (r *run) gather(ctx context.Context) (map[replicaset.EndpointID]replicaset.Status, error) {
+	began := r.Engine.Boot()
+	term := r.old.Term
+	for {
+		replicas := r.replicas()
+		for _, st := range r.ask(ctx, r.set.Members(), engine.Op{Kind: engine.OpStatus}) {
+			term = max(term, st.Term, st.Held)
+		}
+		reports := r.ask(ctx, replicas, engine.Op{Kind: engine.OpPause, Term: term + 1})
+		if len(reports) == len(replicas) && len(replicas) > 0 {
+			return reports, nil
+		}
+		if len(reports) > 0 && !r.Engine.Policy(r.set.Name).Synchronous {
+			return reports, nil
+		}
+		if r.Engine.Boot().Sub(began) > gatherTime || !sleep(ctx, pollEvery) {
+			return nil, fmt.Errorf("%d of %d replicas answer", len(reports), len(replicas))
+		}
+	}
+}
+
+func (r *run) replicas() []replicaset.Member {
+	var out []replicaset.Member
+	for _, m := range r.set.Members() {
+		if m.ID != r.old.ID {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// already finds a member that leads a later term: a promotion that another
+// host started and did not record.
+func (r *run) already(ctx context.Context) (replicaset.Lead, bool) {
+	if r.old.Term == 0 {
+		return replicaset.Lead{}, false
+	}
+	for id, st := range r.ask(ctx, r.replicas(), engine.Op{Kind: engine.OpStatus}) {
+		if st.Role == replicaset.Primary && st.Term > r.old.Term {
+			return replicaset.Lead{ID: id, Term: st.Term}, true
+		}
+	}
+	return replicaset.Lead{}, false
+}
+
+// furthest chooses the replica that has received most of the log; between
+// equals one that stays, then one in the old primary's zone.
+func (r *run) furthest(reports map[replicaset.EndpointID]replicaset.Status) (replicaset.EndpointID, bool) {
+	var best replicaset.Member
+	found := false
+	for _, m := range r.replicas() {
+		st, ok := reports[m.ID]
+		if !ok || st.Role != replicaset.Replica {
+			continue
+		}
+		if !found || better(m, st, best, reports[best.ID]) {
+			best, found = m, true
+		}
+	}
+	return best.ID, found
+}
+
+func better(m replicaset.Member, st replicaset.Status, best replicaset.Member, bestStatus replicaset.Status) bool {
+	if st.Received != bestStatus.Received {
+		return bestStatus.Received.Less(st.Received)
+	}
+	if m.Draining != best.Draining {
+		return best.Draining
+	}
+	return st.Lag < bestStatus.Lag
+}
+
+// promote orders the promotion and waits for its effect.
+func (r *run) promote(ctx context.Context, id replicaset.EndpointID, before replicaset.Status) (replicaset.Lead, error) {
+	member, ok := r.set.Member(id)
+	if !ok {
+		return replicaset.Lead{}, fmt.Errorf("endpoint %s is gone", id)
+	}
+	var last error
+	for r.leaseLeft() > callMargin {
+		r.sent = true
+		call, cancel := context.WithTimeout(ctx, promoteTimeout)
+		last = r.Promote(call, r.set.Name, id, r.Self, r.duty.Token)
+		cancel()
+		r.event(r.set.Name, id, "promote_sent", fmt.Sprintf("token %d, result %v", r.duty.Token, last))
+		if last == nil {
+			return r.awaitEffect(ctx, member, before)
+		}
+		if !sleep(ctx, pollEvery) {
+			break
+		}
+	}
+	return replicaset.Lead{}, fmt.Errorf("promote %s: %w", id, last)
+}
+
+func (r *run) awaitEffect(ctx context.Context, member replicaset.Member, before replicaset.Status) (replicaset.Lead, error) {
+	began := r.Engine.Boot()
+	for r.Engine.Boot().Sub(began) < effectTimeout {
+		st, ok := r.ask(ctx, []replicaset.Member{member}, engine.Op{Kind: engine.OpStatus})[member.ID]
+		if ok && st.Role == replicaset.Primary && st.Term > before.Term {
+			return replicaset.Lead{ID: member.ID, Term: st.Term}, nil
+		}
+		if !sleep(ctx, pollEvery) {
+			break
+		}
+	}
+	return replicaset.Lead{}, fmt.Errorf("endpoint %s does not lead yet", member.ID)
+}
+
+// settle records who leads and gives the duty back.
+func (r *run) settle(ctx context.Context, lead replicaset.Lead) {
+	for r.leaseLeft() > 0 {
+		st, err := r.Records.Read(ctx)
+		if err == nil && (st.Duty.Holder != r.Self || st.Duty.Token != r.duty.Token) {
+			return
+		}
+		if err == nil {
+			err = r.record(ctx, st, lead)
+		}
+		if err == nil {
+			return
+		}
+		r.event(r.set.Name, lead.ID, "record_failed", err.Error())
+		if !sleep(ctx, pollEvery) {
+			return
+		}
+	}
+}
+
+func (r *run) record(ctx context.Context, st State, lead replicaset.Lead) error {
+	d := st.Duty
+	if !r.othersRunning() {
+		d.Holder, d.Until = "", 0
+	}
+	lead.Switching, lead.Token, lead.Holder = false, r.duty.Token, ""
+	lead.Version = st.Leads[r.set.Name].Version
+	version, err := r.Records.Write(ctx, Change{Duty: d, Group: r.set.Name, Lead: lead})
+	if err != nil {
+		return err
+	}
+	lead.Version, d.Version = version, version
+	r.Observe(d, st.Now, r.Engine.Boot())
+	r.set.SetLead(lead)
+	return nil
+}
+
+// othersRunning reports whether this host switches another group as well.
+func (r *run) othersRunning() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running) > 1
+}
+
+// tidy lets the other replicas follow and tells the old primary that it lost
+// the lead; both find out by themselves as well.
+func (r *run) tidy(ctx context.Context, next replicaset.Lead) {
+	var others []replicaset.Member
+	for _, m := range r.set.Members() {
+		switch m.ID {
+		case next.ID:
+		case r.old.ID:
+			r.ask(ctx, []replicaset.Member{m}, engine.Op{Kind: engine.OpDemote, Term: next.Term})
+		default:
+			others = append(others, m)
+		}
+	}
+	r.ask(ctx, others, engine.Op{Kind: engine.OpResume})
+}
--- /dev/null
+++ b/internal/replicaset/route.go
@@ -0,0 +1,204 @@
+package replicaset
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// defaultLatency stands for a member that has not answered yet.
+	defaultLatency = 5 * time.Millisecond
+	// remotePenalty is what a read in another zone is held to cost: bytes
+	// between zones are dearer than a short wait.
+	remotePenalty = 25 * time.Millisecond
+	// primaryPenalty keeps reads away from the primary, which alone can write.
+	primaryPenalty = 8 * time.Millisecond
+)
+
+// Sample notes the primary's log position in an answer to something that was
+// sent at the given moment, at which the primary was known to lead.
+func (s *Set) Sample(id EndpointID, sentAt Instant, p session.Point) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id != s.lead.ID || s.lead.Switching {
+		return
+	}
+	n := len(s.samples)
+	if n > 0 && sentAt.Sub(s.samples[n-1].sentAt) < sampleSpacing {
+		return
+	}
+	s.samples = append(s.samples, sample{sentAt, p})
+	drop := 0
+	for drop < len(s.samples) && sentAt.Sub(s.samples[drop].sentAt) > sampleKeep {
+		drop++
+	}
+	s.samples = s.samples[drop:]
+}
+
+// SampleAge returns the age of the newest sample.
+func (s *Set) SampleAge(now Instant) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.samples) == 0 {
+		return 0, false
+	}
+	return now.Sub(s.samples[len(s.samples)-1].sentAt), true
+}
+
+// Need returns the log position that a read must include to be at most maxAge
+// old and to hold what its session has seen. It reports false when no sample is
+// young enough: only the primary can serve the read then.
+func (s *Set) Need(now Instant, maxAge time.Duration, seen session.Point) (session.Point, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.samples {
+		if now.Sub(c.sentAt) <= maxAge {
+			return s.current(seen, c.point).Max(c.point), true
+		}
+	}
+	return session.Point{}, false
+}
+
+// current replaces a position of an earlier term: what was acknowledged before
+// the promotion is in every position sampled after it, and the rest no longer
+// exists.
+func (s *Set) current(seen, sampled session.Point) session.Point {
+	if seen.Term < s.lead.Term && sampled.Term >= s.lead.Term {
+		return session.Point{}
+	}
+	return seen
+}
+
+// ReadOrder returns the members that may serve a read, the best first: by
+// expected wait, with a penalty for other zones and for the primary. Members
+// that broke lately or that drain come last.
+func (s *Set) ReadOrder(now Instant, need session.Point, tried map[EndpointID]bool) []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	type choice struct {
+		m    Member
+		cost time.Duration
+	}
+	var all []choice
+	for id, m := range s.members {
+		if tried[id] || m.Role == Unknown {
+			continue
+		}
+		all = append(all, choice{m.Member, s.cost(now, m, need)})
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].cost != all[j].cost {
+			return all[i].cost < all[j].cost
+		}
+		return all[i].m.ID < all[j].m.ID
+	})
+	out := make([]Member, len(all))
+	for i, c := range all {
+		out[i] = c.m
+	}
+	return out
+}
+
+func (s *Set) cost(now Instant, m *state, need session.Point) time.Duration {
+	cost := s.decayed(now, m)
+	slots := max(m.Slots, 1)
+	cost += cost * time.Duration(m.inFlight) / time.Duration(slots)
+	if m.Zone != s.Zone {
+		cost += remotePenalty
+	}
+	if m.ID == s.lead.ID {
+		cost += primaryPenalty
+	} else if m.position.Less(need) && m.position != (session.Point{}) {
+		cost += remotePenalty
+	}
+	if m.Draining || m.removedAt != 0 {
+		cost += time.Second
+	}
+	if m.avoidUntil > now {
+		cost += 2 * time.Second
+	}
+	return cost
+}
+
+func (s *Set) decayed(now Instant, m *state) time.Duration {
+	if m.latency == 0 {
+		return defaultLatency
+	}
+	age := now.Sub(m.latencyAt)
+	d := m.latency
+	for ; age > latencyHalfLife && d > defaultLatency; age -= latencyHalfLife {
+		d /= 2
+	}
+	return max(d, time.Millisecond)
+}
+
+// Began notes a statement sent to a member.
+func (s *Set) Began(id EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok {
+		m.inFlight++
+	}
+}
+
+// Ended notes the end of a statement at a member: its duration if it was
+// answered, and the log position in the answer.
+func (s *Set) Ended(now Instant, id EndpointID, took time.Duration, answered bool, p session.Point) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	if !ok {
+		return
+	}
+	m.inFlight = max(m.inFlight-1, 0)
+	if !answered {
+		m.failed(now)
+		return
+	}
+	m.avoidUntil, m.failingSince = 0, 0
+	m.position = m.position.Max(p)
+	if m.latency == 0 {
+		m.latency = took
+	} else {
+		m.latency += time.Duration(latencyWeight * float64(took-m.latency))
+	}
+	m.latencyAt = now
+}
+
+// Avoid makes a member that broke or hung the last choice for a while.
+func (s *Set) Avoid(now Instant, id EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok {
+		m.failed(now)
+	}
+}
+
+func (m *state) failed(now Instant) {
+	m.avoidUntil = now.Add(avoidFor)
+	if m.failingSince == 0 {
+		m.failingSince = now
+	}
+}
+
+// Answered notes that a member answered something other than a statement.
+func (s *Set) Answered(id EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok {
+		m.avoidUntil, m.failingSince = 0, 0
+	}
+}
+
+// Latency returns the expected duration of a statement at a member.
+func (s *Set) Latency(now Instant, id EndpointID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	if !ok {
+		return defaultLatency
+	}
+	return s.decayed(now, m)
+}
--- /dev/null
+++ b/internal/replicaset/set.go
@@ -0,0 +1,226 @@
+package replicaset
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// removalGrace keeps a member whose registration lapsed: registrations
+	// lapse while the store is down and come back within 2 s of its return.
+	removalGrace = 2500 * time.Millisecond
+	// sampleSpacing is the least time between two kept samples.
+	sampleSpacing = 20 * time.Millisecond
+	// sampleKeep is how long samples are kept.
+	sampleKeep = 10 * time.Second
+	// avoidFor is how long a member that broke or hung is tried last.
+	avoidFor = time.Second
+	// latencyWeight is the share of a new observation in the average.
+	latencyWeight = 0.2
+	// latencyHalfLife forgets a slow member, so that it is tried again.
+	latencyHalfLife = 2 * time.Second
+)
+
+type sample struct {
+	sentAt Instant
+	point  session.Point
+}
+
+type state struct {
+	Member
+	removedAt  Instant
+	avoidUntil Instant
+	latency    time.Duration
+	latencyAt  Instant
+	inFlight   int
+	position   session.Point
+	// failingSince is when the member stopped to answer, 0 while it answers.
+	failingSince Instant
+}
+
+// Set is one database group as this host sees it. It is safe for concurrent use.
+type Set struct {
+	Name session.Group
+	Zone string
+
+	mu      sync.Mutex
+	members map[EndpointID]*state
+	lead    Lead
+	samples []sample
+	acked   session.Point
+	// stuckSince is when commits stopped to be answered, 0 while they are.
+	stuckSince Instant
+	changed    chan struct{}
+}
+
+// New returns an empty group, seen from a host in the given zone.
+func New(name session.Group, zone string) *Set {
+	return &Set{Name: name, Zone: zone, members: make(map[EndpointID]*state), changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed at the next change of members or
+// leadership.
+func (s *Set) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *Set) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Register adds or updates a member.
+func (s *Set) Register(m Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.members[m.ID]
+	if !ok {
+		old = &state{}
+		s.members[m.ID] = old
+	}
+	if old.Started != m.Started {
+		old.position = session.Point{}
+		old.avoidUntil = 0
+	}
+	changed := old.Member != m || old.removedAt != 0
+	old.Member, old.removedAt = m, 0
+	if s.lead.Version == 0 && m.Role == Primary && (s.lead.ID == "" || s.lead.Term == 0) {
+		s.lead.ID = m.ID
+	}
+	if changed {
+		s.notify()
+	}
+}
+
+// Deregister notes that a registration is gone. The member is forgotten after
+// a grace period unless it registers again.
+func (s *Set) Deregister(now Instant, id EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok && m.removedAt == 0 {
+		m.removedAt = now
+	}
+}
+
+// Expire forgets members whose registration has been gone for the grace period
+// and returns their ids.
+func (s *Set) Expire(now Instant) []EndpointID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var gone []EndpointID
+	for id, m := range s.members {
+		if m.removedAt != 0 && now.Sub(m.removedAt) >= removalGrace {
+			delete(s.members, id)
+			gone = append(gone, id)
+		}
+	}
+	if gone != nil {
+		s.notify()
+	}
+	return gone
+}
+
+// Members returns all members, ordered by id.
+func (s *Set) Members() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]Member, 0, len(s.members))
+	for _, m := range s.members {
+		all = append(all, m.Member)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// Member returns one member.
+func (s *Set) Member(id EndpointID) (Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	if !ok {
+		return Member{}, false
+	}
+	return m.Member, true
+}
+
+// Registered reports whether the member's registration stands right now.
+func (s *Set) Registered(id EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	return ok && m.removedAt == 0
+}
+
+// Lead returns the leadership as known.
+func (s *Set) Lead() Lead {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lead
+}
+
+// SetLead takes a recorded leadership. Older records are ignored.
+func (s *Set) SetLead(l Lead) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Version <= s.lead.Version {
+		return false
+	}
+	if l.ID != s.lead.ID || l.Term != s.lead.Term {
+		s.samples, s.stuckSince = nil, 0
+	}
+	s.lead = l
+	s.notify()
+	return true
+}
+
+// LearnTerm notes the term that the leader reports for itself while no record
+// says more.
+func (s *Set) LearnTerm(id EndpointID, t session.Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead.ID == id && s.lead.Term < t && !s.lead.Switching {
+		s.lead.Term = t
+	}
+}
+
+// Acked returns the highest position that this host acknowledged.
+func (s *Set) Acked() session.Point {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acked
+}
+
+// Acknowledge notes a position that a caller was told to be committed.
+func (s *Set) Acknowledge(p session.Point) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked = s.acked.Max(p)
+}
+
+// Committed notes whether a write or the end of a transaction was answered by
+// the primary.
+func (s *Set) Committed(now Instant, answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if answered {
+		s.stuckSince = 0
+	} else if s.stuckSince == 0 {
+		s.stuckSince = now
+	}
+}
+
+// Trouble returns since when the primary does not answer, and since when its
+// commits are not answered; 0 for no trouble.
+func (s *Set) Trouble() (silent, stuck Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[s.lead.ID]; ok {
+		silent = m.failingSince
+	}
+	return silent, s.stuckSince
+}
