--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -69,27 +69,38 @@
 	idleFrom time.Time
 }
 
-// prepare lists what brings the connection to the session's values and knows
-// the given shapes.
+// setup lists what brings the connection to the session's values and lets it
+// know the given shape.
 func (c *Conn) setup(values map[string]string, shape *Shape) []Op {
 	var ops []Op
-	if c.foreign(values) || len(c.prepared) >= maxPrepared {
+	has, known := c.values, c.prepared
+	if c.foreign(values) || len(known) >= maxPrepared {
 		ops = append(ops, Op{Kind: OpReset})
-		c.values, c.prepared = nil, nil
+		has, known = nil, nil
 	}
 	for name, v := range values {
-		if old, ok := c.values[name]; !ok || old != v {
+		if old, ok := has[name]; !ok || old != v {
 			ops = append(ops, Op{Kind: OpSet, Name: name, Value: v})
 		}
 	}
 	if shape != nil {
-		if _, ok := c.prepared[*shape]; !ok {
-			ops = append(ops, Op{Kind: OpPrepare, Name: c.nextName(), Shape: *shape})
+		if _, ok := known[*shape]; !ok {
+			ops = append(ops, Op{Kind: OpPrepare, Name: "c" + strconv.Itoa(len(known)), Shape: *shape})
 		}
 	}
 	return ops
 }
 
+// fits reports whether a session's values stand on the connection already.
+func (c *Conn) fits(values map[string]string) bool {
+	for name, v := range values {
+		if old, ok := c.values[name]; !ok || old != v {
+			return false
+		}
+	}
+	return !c.foreign(values)
+}
+
 // foreign reports whether the connection has a value that the session lacks.
 func (c *Conn) foreign(values map[string]string) bool {
 	for name := range c.values {
@@ -100,11 +111,11 @@
 	return false
 }
 
-func (c *Conn) nextName() string { return "c" + strconv.Itoa(len(c.prepared)) }
-
 // learned notes what a setup request that succeeded has changed.
 func (c *Conn) learned(op Op) {
 	switch op.Kind {
+	case OpReset:
+		c.values, c.prepared = nil, nil
 	case OpSet:
 		if c.values == nil {
 			c.values = make(map[string]string)
--- /dev/null
+++ b/internal/engine/conn_test.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSetupAsksWithoutChanging reproduces values of one session that were seen
+// by another: looking for a fitting connection forgot what a connection had.
+func TestSetupAsksWithoutChanging(t *testing.T) {
+	c := &Conn{Do: func(_ time.Time, ops ...Op) ([]Outcome, error) { return make([]Outcome, len(ops)), nil }}
+	if _, err := c.adopt(time.Time{}, map[string]string{"v1": "a"}, nil); err != nil {
+		t.Fatal(err)
+	}
+	other := map[string]string{"v0": "b"}
+	first := c.setup(other, nil)
+	second := c.setup(other, nil)
+	if len(first) != 2 || len(second) != 2 || second[0].Kind != OpReset {
+		t.Fatalf("setup gives %v, then %v; want a reset and the value, twice", first, second)
+	}
+}
+
+func TestSetup(t *testing.T) {
+	shape := Shape{Text: "q1"}
+	tests := []struct {
+		name   string
+		has    map[string]string
+		wants  map[string]string
+		kept   map[Shape]string
+		shape  *Shape
+		expect []OpKind
+	}{
+		{"same values", map[string]string{"v": "1"}, map[string]string{"v": "1"}, nil, nil, nil},
+		{"other value", map[string]string{"v": "1"}, map[string]string{"v": "2"}, nil, nil, []OpKind{OpSet}},
+		{"value too many", map[string]string{"v": "1"}, nil, nil, nil, []OpKind{OpReset}},
+		{"known shape", nil, nil, map[Shape]string{shape: "c0"}, &shape, nil},
+		{"new shape", nil, nil, nil, &shape, []OpKind{OpPrepare}},
+		{"a reset forgets shapes", map[string]string{"v": "1"}, nil, map[Shape]string{shape: "c0"}, &shape, []OpKind{OpReset, OpPrepare}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &Conn{values: tt.has, prepared: tt.kept}
+			ops := c.setup(tt.wants, tt.shape)
+			if len(ops) != len(tt.expect) {
+				t.Fatalf("setup gives %v, want %v", ops, tt.expect)
+			}
+			for i, op := range ops {
+				if op.Kind != tt.expect[i] {
+					t.Errorf("request %d is %v, want %v", i, op.Kind, tt.expect[i])
+				}
+			}
+		})
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -138,7 +138,7 @@
 	}
 	best := n - 1
 	for i := n - 1; i >= 0; i-- {
-		if len(p.idle[i].setup(values, nil)) == 0 {
+		if p.idle[i].fits(values) {
 			best = i
 			break
 		}
