Proofs of replicas instead of leases of the store; dark primaries are noticed

Cause: replicas report their backlog, not when they last heard the primary, so a primary that went dark was never replaced; a lease renewed through the store lapses with the store and costs a call a second a host. Now a primary is replaced when no replica received anything for a while, and a read of the latest state needs a replica that was not paused. Promotion pauses all replicas and announces the new primary only after older proofs ran out.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -21,21 +21,15 @@
 	if !ok {
 		deadline = e.Now().Add(proofTimeout)
 	}
-	sentAt := e.Boot()
 	out, err := c.do(deadline, op)
 	if err != nil {
 		return replicaset.Status{}, fmt.Errorf("control of endpoint %s: %w", m.ID, err)
 	}
+	g.Answered(e.Boot(), m.ID)
 	if o := out[0]; o.Code != Done {
 		return replicaset.Status{}, fmt.Errorf("endpoint %s answers %s: %s", m.ID, o.Code, o.Reason)
 	}
-	g.Answered(m.ID)
-	st := out[0].Report
-	if st.Role == replicaset.Primary {
-		g.LearnTerm(m.ID, st.Term)
-		e.sample(g, m, sentAt, out[0].Point)
-	}
-	return st, nil
+	return out[0].Report, nil
 }
 
 func (e *Engine) controlConn(ctx context.Context, p *pool) (*Conn, func(), error) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,7 +24,6 @@
 	Event func(Event)
 
 	declared atomic.Pointer[Declared]
-	lease    atomic.Int64
 
 	mu     sync.Mutex
 	groups map[session.Group]*group
@@ -48,10 +47,10 @@
 type group struct {
 	*replicaset.Set
 
-	mu     sync.Mutex
-	pools  map[replicaset.EndpointID]*pool
-	policy GroupPolicy
-	proof  *proof
+	mu       sync.Mutex
+	pools    map[replicaset.EndpointID]*pool
+	policy   GroupPolicy
+	question *question
 }
 
 func (e *Engine) event(v Event) {
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// LeaseTime is how long after a reading of the leadership records no
-	// promotion can have begun unseen: whoever promotes waits it out.
-	LeaseTime = 2500 * time.Millisecond
+	// ProofTime is how long a replica's word that it follows the primary
+	// counts. Whoever promotes pauses all replicas first and lets this time
+	// pass before the new primary is announced.
+	ProofTime = time.Second
 	// proofTimeout bounds one question to a replica.
 	proofTimeout = 300 * time.Millisecond
 )
@@ -20,98 +21,108 @@
 // errNoProof says that nothing shows that the primary still leads.
 var errNoProof = errors.New("no proof that the primary still leads")
 
-// Renew notes that the leadership records were read at the given moment.
-func (e *Engine) Renew(readAt replicaset.Instant) {
+// question is put to a replica for all callers who came before it was sent.
+type question struct {
+	done chan struct{}
+	err  error
+}
+
+// prove shows that what the group's primary does for a caller who came at the
+// given moment sees each commit that was acknowledged before: some replica
+// follows that primary and has not been paused, or had not a moment before.
+func (e *Engine) prove(g *group, lead replicaset.Lead, came replicaset.Instant) error {
 	for {
-		old := e.lease.Load()
-		if old >= int64(readAt) || e.lease.CompareAndSwap(old, int64(readAt)) {
-			return
+		now := g.Lead()
+		if now.Switching || now.ID != lead.ID {
+			return errNoProof
+		}
+		if g.Proved(came, ProofTime) {
+			return nil
+		}
+		q, mine := g.ask()
+		if mine {
+			q.err = e.question(g, now)
+			g.answer(q)
+			return q.err
+		}
+		<-q.done
+		if q.err != nil {
+			return q.err
 		}
 	}
 }
 
-// LeaseAge returns how long ago the leadership records were read.
-func (e *Engine) LeaseAge() time.Duration {
-	return e.Boot().Sub(replicaset.Instant(e.lease.Load()))
-}
-
-// leased reports whether no promotion can have begun unseen, as of now.
-func (e *Engine) leased() bool {
-	at := e.lease.Load()
-	return at != 0 && e.Boot().Sub(replicaset.Instant(at)) < LeaseTime
+// ask returns the question under way, or a new one that the caller has to put.
+func (g *group) ask() (q *question, mine bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.question != nil {
+		return g.question, false
+	}
+	g.question = &question{done: make(chan struct{})}
+	return g.question, true
 }
 
-// proof is a question to a replica that serves all who came before it was sent.
-type proof struct {
-	done chan struct{}
-	err  error
+func (g *group) answer(q *question) {
+	g.mu.Lock()
+	g.question = nil
+	g.mu.Unlock()
+	close(q.done)
 }
 
-// prove reports whether the group's primary still led when prove was called:
-// by the lease, or else by a replica that has not been told to stop receiving.
-func (e *Engine) prove(g *group, lead replicaset.Lead) error {
-	now := g.Lead()
-	if now.ID != lead.ID || now.Term != lead.Term && lead.Term != 0 {
-		return errNoProof
+func (e *Engine) question(g *group, lead replicaset.Lead) error {
+	if lead.Term == 0 {
+		if err := e.learnTerm(g, lead); err != nil {
+			return err
+		}
+		lead = g.Lead()
 	}
-	if e.leased() && !now.Switching {
+	others := g.ReadOrder(e.Boot(), session.Point{}, map[replicaset.EndpointID]bool{lead.ID: true})
+	if len(others) == 0 && len(g.Members()) == 1 {
+		g.Prove(lead, e.Boot())
 		return nil
 	}
-	g.mu.Lock()
-	p := g.proof
-	if p == nil {
-		p = &proof{done: make(chan struct{})}
-		g.proof = p
-		g.mu.Unlock()
-		go e.ask(g, lead, p)
-		<-p.done
-		return p.err
+	for _, m := range others {
+		sentAt := e.Boot()
+		st, err := e.status(m, proofTimeout)
+		if err != nil {
+			e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_failed", Reason: err.Error()})
+			continue
+		}
+		if st.Role == replicaset.Replica && st.Held <= st.Term && st.Term == lead.Term {
+			g.Prove(lead, sentAt)
+			return nil
+		}
+		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_refused", Reason: st.String()})
+		if lead.Version == 0 && st.Term > lead.Term {
+			return e.learnTerm(g, lead)
+		}
 	}
-	g.mu.Unlock()
-	<-p.done
-	return e.proveAnew(g, lead)
+	return errNoProof
 }
 
-// proveAnew asks once more: a question that was under way already may have been
-// sent too early to speak for this caller.
-func (e *Engine) proveAnew(g *group, lead replicaset.Lead) error {
-	g.mu.Lock()
-	p := g.proof
-	if p == nil {
-		p = &proof{done: make(chan struct{})}
-		g.proof = p
-		go e.ask(g, lead, p)
-	}
-	g.mu.Unlock()
-	<-p.done
-	return p.err
+func (e *Engine) status(m replicaset.Member, timeout time.Duration) (replicaset.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return e.Control(ctx, m, Op{Kind: OpStatus})
 }
 
-func (e *Engine) ask(g *group, lead replicaset.Lead, p *proof) {
-	defer func() {
-		g.mu.Lock()
-		g.proof = nil
-		g.mu.Unlock()
-		close(p.done)
-	}()
-	p.err = errNoProof
-	replicas := 0
-	for _, m := range g.ReadOrder(e.Boot(), session.Point{}, map[replicaset.EndpointID]bool{lead.ID: true}) {
-		replicas++
-		ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
-		st, err := e.Control(ctx, m, Op{Kind: OpStatus})
-		cancel()
-		if err != nil {
-			e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_failed", Reason: err.Error()})
+// learnTerm finds the primary of a group of which no promotion is recorded:
+// the member that leads the highest term.
+func (e *Engine) learnTerm(g *group, lead replicaset.Lead) error {
+	found := replicaset.Lead{Version: lead.Version}
+	for _, m := range g.Members() {
+		if m.Role != replicaset.Primary && m.ID != lead.ID {
 			continue
 		}
-		if st.Role == replicaset.Replica && st.Held <= st.Term && (lead.Term == 0 || st.Term == lead.Term) {
-			p.err = nil
+		st, err := e.status(m, proofTimeout)
+		if err == nil && st.Role == replicaset.Primary && st.Term > found.Term {
+			found.ID, found.Term = m.ID, st.Term
 		}
-		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof", Reason: st.String(), Age: e.LeaseAge()})
-		return
 	}
-	if replicas == 0 && len(g.Members()) == 1 {
-		p.err = nil
+	if found.ID == "" {
+		return errNoProof
 	}
+	g.Learn(found)
+	return nil
 }
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -105,7 +105,7 @@
 // exchange sends one statement and notes what its answer tells.
 func (e *Engine) exchange(a attempt, c *Conn, op Op) (Outcome, error) {
 	sentAt := e.Boot()
-	a.g.Began(a.member.ID)
+	a.g.Began(sentAt, a.member.ID)
 	out, err := c.do(a.deadline, op)
 	now := e.Boot()
 	if err != nil {
@@ -120,7 +120,7 @@
 
 // sample keeps a position of the primary if it was known to lead then.
 func (e *Engine) sample(g *group, m replicaset.Member, sentAt replicaset.Instant, p session.Point) {
-	if p != (session.Point{}) && e.leased() && g.Lead().ID == m.ID {
+	if p != (session.Point{}) && g.Lead().ID == m.ID && g.Proved(sentAt, ProofTime) {
 		g.Sample(m.ID, sentAt, p)
 	}
 }
@@ -238,7 +238,7 @@
 	for {
 		lead := g.Lead()
 		changed := g.Changed()
-		if m, ok := g.Member(lead.ID); ok && !lead.Switching {
+		if m, ok := g.Member(lead.ID); ok && !lead.Switching && !g.Leaving(s.e.Boot(), lead.ID) {
 			return lead, m, true
 		}
 		d := deadline.Sub(s.e.Now())
@@ -257,12 +257,13 @@
 // latestRead runs a read that sees all that was acknowledged before it.
 func (s *CallerSession) latestRead(g *group, w work, deadline time.Time) Outcome {
 	last := Outcome{Code: Busy, Reason: "no primary"}
+	came := s.e.Boot()
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		lead, m, ok := s.leader(g, deadline)
 		if !ok {
 			break
 		}
-		if err := s.e.prove(g, lead); err != nil {
+		if err := s.e.prove(g, lead, came); err != nil {
 			last = Outcome{Code: Busy, Reason: err.Error()}
 			s.retried(w, m, last, err)
 			s.pause(g, deadline)
@@ -284,21 +285,21 @@
 // singleWrite runs a write, once.
 func (s *CallerSession) singleWrite(g *group, w work, deadline time.Time) Outcome {
 	last := Outcome{Code: Busy, Reason: "no primary"}
+	came := s.e.Boot()
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		lead, m, ok := s.leader(g, deadline)
 		if !ok {
 			break
 		}
-		if err := s.e.prove(g, lead); err != nil {
-			last = Outcome{Code: Busy, Reason: err.Error()}
-			s.retried(w, m, last, err)
+		if !s.mayWrite(g, lead, came) {
 			s.pause(g, deadline)
 			continue
 		}
+		sentAt := s.e.Boot()
 		o, sent, err := s.at(attempt{g: g, member: m, class: classWrite, until: deadline, deadline: deadline}, w)
 		if err == nil && !o.Code.notRun() {
 			g.Committed(s.e.Boot(), true)
-			return s.acknowledge(g, lead, w, o)
+			return s.acknowledge(g, lead, w, sentAt, o)
 		}
 		if err != nil && sent {
 			g.Committed(s.e.Boot(), false)
@@ -313,17 +314,26 @@
 	return s.giveUp(w, last)
 }
 
-// acknowledge passes a commit's answer on if no promotion can have begun
-// before it was made.
-func (s *CallerSession) acknowledge(g *group, lead replicaset.Lead, w work, o Outcome) Outcome {
+// mayWrite reports whether a write may be sent to the primary. The answer of a
+// synchronous commit proves by itself that a replica followed the primary then.
+func (s *CallerSession) mayWrite(g *group, lead replicaset.Lead, came replicaset.Instant) bool {
+	return s.e.Policy(g.Name).Synchronous || s.e.prove(g, lead, came) == nil
+}
+
+// acknowledge passes a commit's answer on if no promotion can have taken effect
+// before it was made: a synchronous commit was received by a replica, and all
+// are paused before a promotion.
+func (s *CallerSession) acknowledge(g *group, lead replicaset.Lead, w work, sentAt replicaset.Instant, o Outcome) Outcome {
 	if o.Code != Done {
 		return o
 	}
-	if err := s.e.prove(g, lead); err != nil {
-		return s.inDoubt(w, replicaset.Member{ID: lead.ID, Group: g.Name}, err)
+	if !s.e.Policy(g.Name).Synchronous {
+		if err := s.e.prove(g, lead, s.e.Boot()); err != nil {
+			return s.inDoubt(w, replicaset.Member{ID: lead.ID, Group: g.Name}, err)
+		}
 	}
+	g.Sample(lead.ID, sentAt, o.Point)
 	s.see(g.Name, o.Point)
-	g.Acknowledge(o.Point)
 	return o
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -48,25 +48,37 @@
 	return s.giveUp(w, last)
 }
 
-// place chooses where the transaction runs.
+// place chooses where the transaction runs, and which position its member must
+// have. At the primary, a proof that it leads stands for the position.
 func (s *CallerSession) place(g *group, tried map[replicaset.EndpointID]bool, began replicaset.Instant, deadline time.Time) (attempt, replicaset.Lead, bool) {
 	r := s.tx.route
-	if s.tx.readOnly && r.Consistency != Latest {
-		if need, ok := s.need(g, began, r); ok {
-			order := g.ReadOrder(s.e.Boot(), need, tried)
-			if len(order) == 0 {
-				return attempt{}, replicaset.Lead{}, false
-			}
-			a := s.readAttempt(g, order[0], deadline, len(order) > 1)
-			a.after = need
-			return a, replicaset.Lead{}, true
+	var need session.Point
+	known := false
+	if r.Consistency != Latest {
+		need, known = s.need(g, began, r)
+	}
+	if s.tx.readOnly && known {
+		order := g.ReadOrder(s.e.Boot(), need, tried)
+		if len(order) == 0 {
+			return attempt{}, replicaset.Lead{}, false
 		}
+		a := s.readAttempt(g, order[0], deadline, len(order) > 1)
+		a.after = need
+		return a, replicaset.Lead{}, true
 	}
 	lead, m, ok := s.leader(g, deadline)
-	if !ok || s.e.prove(g, lead) != nil {
+	if !ok || !known && s.e.prove(g, lead, began) != nil {
 		return attempt{}, lead, false
 	}
-	return attempt{g: g, member: m, class: classWrite, until: deadline, deadline: deadline}, lead, true
+	return attempt{g: g, member: m, after: need, class: classWrite, until: deadline, deadline: deadline}, lead, true
+}
+
+// begin is what starts the transaction at an endpoint.
+func (tx *transaction) begin(after session.Point) Op {
+	if tx.readOnly {
+		return Op{Kind: OpBeginRead, After: after}
+	}
+	return Op{Kind: OpBegin, After: after}
 }
 
 // start begins the transaction and runs its first statement. It reports
@@ -78,11 +90,7 @@
 		s.noConnection(a, err)
 		return refusal(err), false, err
 	}
-	begin := Op{Kind: OpBegin}
-	if s.tx.readOnly {
-		begin = Op{Kind: OpBeginRead, After: a.after}
-	}
-	o, err := c.adopt(a.deadline, s.values, w.shape, begin)
+	o, err := c.adopt(a.deadline, s.values, w.shape, s.tx.begin(a.after))
 	if err != nil || o.Code != Done {
 		s.abandon(a, p, c, err)
 		return o, false, err
@@ -161,6 +169,7 @@
 	s.tx, s.state = nil, Idle
 	a := attempt{g: tx.g, member: tx.member, deadline: deadline}
 	op := Op{Kind: OpStatement, ID: st.ID, Text: st.Text}
+	sentAt := s.e.Boot()
 	o, err := s.e.exchange(a, tx.conn, op)
 	for err == nil && o.Code == Busy && o.State == InTransaction && s.e.Now().Add(retryPause+minAttempt).Before(deadline) {
 		time.Sleep(retryPause)
@@ -181,7 +190,7 @@
 		s.broke(a, tx.pool)
 		return Outcome{Code: Aborted, Reason: "the endpoint was lost at the end of a transaction that wrote nothing"}
 	case tx.wrote:
-		return s.acknowledge(tx.g, tx.lead, w, o)
+		return s.acknowledge(tx.g, tx.lead, w, sentAt, o)
 	}
 	return o
 }
@@ -206,11 +215,7 @@
 			s.noConnection(a, err)
 			continue
 		}
-		begin := Op{Kind: OpBegin}
-		if s.tx.readOnly {
-			begin = Op{Kind: OpBeginRead, After: a.after}
-		}
-		o, err := c.adopt(a.deadline, s.values, nil, begin)
+		o, err := c.adopt(a.deadline, s.values, nil, s.tx.begin(a.after))
 		if err != nil || o.Code != Done {
 			s.abandon(a, p, c, err)
 			last = o
--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -6,12 +6,16 @@
 // and nothing that the old primary still does is acknowledged:
 //
 //  1. The holder takes the duty with a new fencing token and records the group
-//     as switching, in one transaction of the store.
-//  2. It waits until each live host has answered that it saw the record, or
-//     until their leases have run out.
-//  3. It pauses all replicas and reads how far each has received the log.
-//  4. It promotes the furthest, and waits until that one leads.
-//  5. It records the new primary and its term, and gives the duty back.
+//     as switching, in one transaction of the store. Hosts that see the record
+//     send the old primary nothing more.
+//  2. It pauses all replicas and reads how far each has received the log. From
+//     then on no synchronous commit can be answered by the old primary, and no
+//     replica gives the proof that reads of the latest state need.
+//  3. It promotes the furthest, and waits until that one leads and until all
+//     proofs from before the pause are too old to count. Without synchronous
+//     replicas it waits before the promotion as well.
+//  4. It records the new primary and its term, and gives the duty back. Only
+//     then do hosts use the new primary.
 //
 // A host that dies in between is followed by another one once the duty's lease
 // is over; each step can be repeated.
@@ -19,5 +23,5 @@
 // # Usage
 //
 //	m := &failover.Manager{Self: "host-1", Engine: e, Records: records, Promote: promote}
-//	t.Go(func() error { return m.Run(ctx) })
+//	err := m.Run(ctx)
 package failover
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -14,20 +14,26 @@
 const (
 	// tick is how often the groups are looked at.
 	tick = 100 * time.Millisecond
-	// suspectAfter is the silence after which a primary is asked again.
-	suspectAfter = 200 * time.Millisecond
+	// suspectAfter is the silence after which a primary is asked itself.
+	suspectAfter = 300 * time.Millisecond
 	// deadAfter is the silence after which a primary that its replicas don't
 	// hear either is replaced.
 	deadAfter = 600 * time.Millisecond
-	// stuckAfter is how long commits are not answered before a primary whose
-	// replicas don't hear it is replaced although it answers.
-	stuckAfter = 900 * time.Millisecond
-	// maxStagger spreads the hosts that start a promotion at the same time.
-	maxStagger = 300 * time.Millisecond
+	// stuckAfter is the same for a primary that answers, but not to commits.
+	stuckAfter = 500 * time.Millisecond
+	// unheardAfter is how long no replica may have received anything.
+	unheardAfter = 350 * time.Millisecond
+	// surveyEvery is the least time between two surveys of a group.
+	surveyEvery = 250 * time.Millisecond
+	// staggerHost is the spread of the first survey for each host that may
+	// suspect the same primary, up to maxStagger.
+	staggerHost = 20 * time.Millisecond
+	// maxStagger bounds the spread.
+	maxStagger = 400 * time.Millisecond
 	// probeTimeout bounds one question to an endpoint.
 	probeTimeout = 400 * time.Millisecond
 	// dutyTime is the lease of the duty.
-	dutyTime = 6 * time.Second
+	dutyTime = 5 * time.Second
 )
 
 // Manager watches all groups of one host and replaces primaries.
@@ -40,13 +46,27 @@
 
 	mu      sync.Mutex
 	running map[session.Group]bool
+	quiet   map[session.Group]quiet
 	duty    Duty
 	readAt  replicaset.Instant
 	storeAt time.Duration
-	holding int
-	// confirmed is the last token that was confirmed for a group.
-	confirmed map[session.Group]uint64
-	wg        sync.WaitGroup
+	hosts   int
+	wg      sync.WaitGroup
+}
+
+// quiet is since when a group's replicas have not received anything.
+type quiet struct {
+	since    replicaset.Instant
+	asked    replicaset.Instant
+	lead     replicaset.EndpointID
+	received map[replicaset.EndpointID]session.Point
+}
+
+// SetHosts tells how many hosts may suspect the same primary.
+func (m *Manager) SetHosts(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hosts = n
 }
 
 // Observe takes what was read from the store: readAt is when, on this host's
@@ -88,9 +108,6 @@
 	if lead.ID == "" {
 		return
 	}
-	if lead.Switching {
-		m.confirm(ctx, set, lead)
-	}
 	reason := m.suspicion(set, lead)
 	if reason == "" || !m.begin(set.Name) {
 		return
@@ -134,7 +151,7 @@
 func (m *Manager) suspicion(set *replicaset.Set, lead replicaset.Lead) string {
 	now := m.Engine.Boot()
 	if lead.Switching {
-		if m.dutyFree() {
+		if m.dutyFree() || promotedElsewhere(set, lead) {
 			return reasonOrphaned
 		}
 		return ""
@@ -154,6 +171,16 @@
 	return ""
 }
 
+// promotedElsewhere reports whether another member says that it leads now.
+func promotedElsewhere(set *replicaset.Set, lead replicaset.Lead) bool {
+	for _, o := range set.Members() {
+		if o.ID != lead.ID && o.Role == replicaset.Primary {
+			return true
+		}
+	}
+	return false
+}
+
 func hasSuccessor(set *replicaset.Set, old replicaset.EndpointID) bool {
 	for _, o := range set.Members() {
 		if o.ID != old && !o.Draining {
@@ -170,71 +197,93 @@
 	return m.duty.Holder == "" || m.duty.Holder == m.Self || m.storeNow() > m.duty.Until+dutyMargin
 }
 
-// confirm answers, once, that this host has seen that a group is switching.
-func (m *Manager) confirm(ctx context.Context, set *replicaset.Set, lead replicaset.Lead) {
-	m.mu.Lock()
-	if m.confirmed == nil {
-		m.confirmed = make(map[session.Group]uint64)
+// handle confirms a suspicion and switches.
+func (m *Manager) handle(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) {
+	if !sleep(ctx, m.stagger()) {
+		return
 	}
-	if m.confirmed[set.Name] == lead.Version {
-		m.mu.Unlock()
+	if set.Lead().Version != lead.Version {
 		return
 	}
-	m.confirmed[set.Name] = lead.Version
-	m.mu.Unlock()
-	go func() {
-		if err := m.Records.Confirm(ctx, m.Self, set.Name, lead.Version); err != nil {
-			m.event(set.Name, lead.ID, "confirm_failed", err.Error())
+	switch reason {
+	case reasonSilent, reasonStuck, reasonGone:
+		if !m.unheard(ctx, set, lead, reason) {
+			return
 		}
-	}()
+	case reasonOrphaned:
+		if m.finish(ctx, set, lead) || !m.dutyFree() {
+			return
+		}
+	}
+	if set.Lead().Version == lead.Version {
+		m.switchover(ctx, set, reason)
+	}
 }
 
-// Saw confirms at once what a change of the records asks to be confirmed.
-func (m *Manager) Saw(ctx context.Context, set *replicaset.Set) {
-	if lead := set.Lead(); lead.Switching {
-		m.confirm(ctx, set, lead)
-	}
+func (m *Manager) stagger() time.Duration {
+	m.mu.Lock()
+	spread := min(time.Duration(m.hosts+1)*staggerHost, maxStagger)
+	m.mu.Unlock()
+	return rand.N(spread)
 }
 
-// handle confirms a suspicion and switches.
-func (m *Manager) handle(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) {
-	if reason == reasonSilent || reason == reasonStuck || reason == reasonGone {
-		if !m.confirmDead(ctx, set, lead, reason) {
-			return
+// unheard surveys a group until the primary answers again or its replicas have
+// heard nothing of it for long enough.
+func (m *Manager) unheard(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) bool {
+	for set.Lead().Version == lead.Version {
+		asked := m.Engine.Boot()
+		v := m.survey(ctx, set, lead)
+		rest := m.quietFor(set, lead, v)
+		silent, stuck := set.Trouble()
+		now := m.Engine.Boot()
+		m.event(set.Name, lead.ID, "survey_"+reason, v.String())
+		switch {
+		case len(v.received) == 0:
+			return false
+		case v.primary && reason != reasonStuck, reason == reasonStuck && stuck == 0:
+			return false
+		case v.primary && !v.behind():
+			return false
+		case reason == reasonSilent && silent == 0:
+			return false
+		}
+		long := reason == reasonGone || reason == reasonSilent && now.Sub(silent) >= deadAfter ||
+			reason == reasonStuck && now.Sub(stuck) >= stuckAfter
+		if long && rest >= unheardAfter {
+			return true
+		}
+		if !sleep(ctx, surveyEvery-now.Sub(asked)) {
+			return false
 		}
 	}
-	if !sleep(ctx, rand.N(maxStagger)) {
-		return
-	}
-	now := set.Lead()
-	if now.Version != lead.Version {
-		return
-	}
-	m.switchover(ctx, set, reason)
+	return false
 }
 
-// confirmDead asks the primary and its replicas: the primary is to be replaced
-// if no replica hears it, and if it does not answer or its commits hang.
-func (m *Manager) confirmDead(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) bool {
-	view := m.survey(ctx, set, lead)
-	m.event(set.Name, lead.ID, "survey_"+reason, view.String())
-	silent, stuck := set.Trouble()
+// quietFor returns how long no replica has received anything.
+func (m *Manager) quietFor(set *replicaset.Set, lead replicaset.Lead, v view) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.quiet == nil {
+		m.quiet = make(map[session.Group]quiet)
+	}
 	now := m.Engine.Boot()
-	switch {
-	case view.replicas == 0 || view.hears:
-		return false
-	case view.primary && reason == reasonStuck:
-		return stuck != 0 && now.Sub(stuck) >= stuckAfter
-	case view.primary:
-		return false
-	case reason == reasonGone:
-		return true
+	q := m.quiet[set.Name]
+	fresh := q.lead != lead.ID || now.Sub(q.asked) > 4*surveyEvery+2*probeTimeout || q.since == 0
+	for id, p := range v.received {
+		if before, ok := q.received[id]; !ok || before.Less(p) {
+			fresh = true
+		}
+	}
+	if fresh {
+		q = quiet{since: now, lead: lead.ID, received: v.received}
 	}
-	return silent != 0 && now.Sub(silent) >= deadAfter
+	q.asked = now
+	m.quiet[set.Name] = q
+	return now.Sub(q.since)
 }
 
 func (m *Manager) event(g session.Group, id replicaset.EndpointID, decision, reason string) {
-	m.Engine.Event(engine.Event{Group: g, Endpoint: id, Decision: decision, Reason: reason, Age: m.Engine.LeaseAge()})
+	m.Engine.Event(engine.Event{Group: g, Endpoint: id, Decision: decision, Reason: reason, Age: m.Engine.Group(g).ProofAge(m.Engine.Boot())})
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -43,10 +43,4 @@
 	Read func(ctx context.Context) (State, error)
 	// Write returns the version of what it wrote, or ErrConflict.
 	Write func(ctx context.Context, c Change) (uint64, error)
-	// Confirm tells that a host has seen that a group is switching.
-	Confirm func(ctx context.Context, host string, g session.Group, token uint64) error
-	// Confirmed lists the hosts that have.
-	Confirmed func(ctx context.Context, g session.Group, token uint64) ([]string, error)
-	// Hosts lists the hosts that may acknowledge something.
-	Hosts func() []string
 }
--- a/internal/failover/survey.go
+++ b/internal/failover/survey.go
@@ -7,41 +7,48 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
-// hearsWithin is the lag under which a replica is held to hear its primary.
-const hearsWithin = deadAfter
-
 // view is what the members of a group answered.
 type view struct {
-	// primary tells that the recorded primary answered as such.
+	// primary tells that the recorded primary answered as such, at which
+	// position of its log.
 	primary bool
-	// hears tells that some replica still hears it.
-	hears bool
-	// replicas is how many replicas answered, of members in all.
-	replicas, members int
-	reports           map[replicaset.EndpointID]replicaset.Status
+	at      session.Point
+	// received is what the replicas that answered have received.
+	received map[replicaset.EndpointID]session.Point
+	reports  map[replicaset.EndpointID]replicaset.Status
+}
+
+// behind reports whether the primary has something that no replica received.
+func (v view) behind() bool {
+	for _, p := range v.received {
+		if !p.Less(v.at) {
+			return false
+		}
+	}
+	return true
 }
 
 // String shows the view in a log line.
 func (v view) String() string {
-	return fmt.Sprintf("primary answers %t, heard by a replica %t, %d replicas of %d members: %v",
-		v.primary, v.hears, v.replicas, v.members, v.reports)
+	return fmt.Sprintf("primary answers %t, at %s: %v", v.primary, v.at, v.reports)
 }
 
 // survey asks all members at once.
 func (m *Manager) survey(ctx context.Context, set *replicaset.Set, lead replicaset.Lead) view {
-	v := view{reports: m.ask(ctx, set.Members(), engine.Op{Kind: engine.OpStatus})}
-	v.members = len(set.Members())
+	v := view{
+		reports:  m.ask(ctx, set.Members(), engine.Op{Kind: engine.OpStatus}),
+		received: make(map[replicaset.EndpointID]session.Point),
+	}
 	for id, st := range v.reports {
-		if id == lead.ID {
-			v.primary = st.Role == replicaset.Primary && (lead.Term == 0 || st.Term == lead.Term)
+		if id != lead.ID {
+			v.received[id] = st.Received
 			continue
 		}
-		v.replicas++
-		if st.Lag < hearsWithin {
-			v.hears = true
-		}
+		v.primary = st.Role == replicaset.Primary && (lead.Term == 0 || st.Term == lead.Term)
+		v.at = st.Received
 	}
 	return v
 }
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
@@ -23,6 +22,8 @@
 	effectTimeout = 4 * time.Second
 	// pollEvery is the pause between two questions while something is awaited.
 	pollEvery = 60 * time.Millisecond
+	// proofMargin is added to the time for which proofs count.
+	proofMargin = 100 * time.Millisecond
 	// settleTime lets statements end that run at a primary that leaves.
 	settleTime = 100 * time.Millisecond
 	// gatherTime is how long all replicas are tried before the switch is left
@@ -107,8 +108,9 @@
 		return
 	}
 	for _, st := range r.ask(ctx, r.set.Members(), engine.Op{Kind: engine.OpStatus}) {
-		r.set.LearnTerm(lead.ID, st.Term)
+		lead.Term = max(lead.Term, st.Term)
 	}
+	r.set.Learn(lead)
 }
 
 // leaseLeft is how long the duty is still held.
@@ -118,10 +120,6 @@
 
 // replace makes another member the primary.
 func (r *run) replace(ctx context.Context) (replicaset.Lead, error) {
-	r.awaitHosts(ctx, r.Engine.Boot())
-	if r.recovered(ctx) {
-		return replicaset.Lead{}, errors.New("the old primary answers again")
-	}
 	if r.reason == reasonDraining && !sleep(ctx, settleTime) {
 		return replicaset.Lead{}, ctx.Err()
 	}
@@ -132,43 +130,49 @@
 	if err != nil {
 		return replicaset.Lead{}, err
 	}
+	paused := r.Engine.Boot()
 	candidate, ok := r.furthest(reports)
 	if !ok {
 		return replicaset.Lead{}, errors.New("no replica can lead")
 	}
-	return r.promote(ctx, candidate, reports[candidate])
-}
-
-// awaitHosts waits until no host can hold a lease from before the switch.
-func (r *run) awaitHosts(ctx context.Context, written replicaset.Instant) {
-	version := r.set.Lead().Version
-	for r.Engine.Boot().Sub(written) < engine.LeaseTime {
-		seen, err := r.Records.Confirmed(ctx, r.set.Name, version)
-		if err == nil && includes(seen, r.Records.Hosts(), r.Self) {
-			return
-		}
-		if !sleep(ctx, pollEvery) {
-			return
-		}
+	if !r.Engine.Policy(r.set.Name).Synchronous {
+		r.awaitProofs(ctx, paused)
+	}
+	next, err := r.promote(ctx, candidate, reports[candidate])
+	if err == nil {
+		r.awaitProofs(ctx, paused)
 	}
+	return next, err
 }
 
-func includes(seen, all []string, self string) bool {
-	for _, h := range all {
-		if h != self && !slices.Contains(seen, h) {
-			return false
-		}
+// awaitProofs waits until no proof from before the pause counts any more.
+func (r *run) awaitProofs(ctx context.Context, paused replicaset.Instant) {
+	if d := engine.ProofTime + proofMargin - r.Engine.Boot().Sub(paused); d > 0 {
+		sleep(ctx, d)
 	}
-	return true
 }
 
-// recovered reports whether a primary that was taken for dead leads after all.
-func (r *run) recovered(ctx context.Context) bool {
-	if r.reason != reasonSilent && r.reason != reasonGone {
+// finish records a promotion that another host ordered and did not record.
+func (m *Manager) finish(ctx context.Context, set *replicaset.Set, lead replicaset.Lead) bool {
+	r := &run{Manager: m, set: set, old: lead}
+	next, ok := r.already(ctx)
+	if !ok || !sleep(ctx, engine.ProofTime+proofMargin) {
 		return false
 	}
-	v := r.survey(ctx, r.set, r.old)
-	return v.primary && v.hears
+	if set.Lead().Version != lead.Version {
+		return true
+	}
+	st, err := r.Records.Read(ctx)
+	if err == nil {
+		r.duty = st.Duty
+		err = r.record(ctx, st, next)
+	}
+	if err != nil {
+		r.event(set.Name, next.ID, "finish_failed", err.Error())
+		return false
+	}
+	r.event(set.Name, next.ID, "switch_finished", fmt.Sprintf("started by %s, term %d", lead.Holder, next.Term))
+	return true
 }
 
 // gather pauses all replicas and returns their reports. Each one that may hold
@@ -185,9 +189,6 @@
 		if len(reports) == len(replicas) && len(replicas) > 0 {
 			return reports, nil
 		}
-		if len(reports) > 0 && !r.Engine.Policy(r.set.Name).Synchronous {
-			return reports, nil
-		}
 		if r.Engine.Boot().Sub(began) > gatherTime || !sleep(ctx, pollEvery) {
 			return nil, fmt.Errorf("%d of %d replicas answer", len(reports), len(replicas))
 		}
@@ -304,7 +305,7 @@
 
 func (r *run) record(ctx context.Context, st State, lead replicaset.Lead) error {
 	d := st.Duty
-	if !r.othersRunning() {
+	if d.Holder == r.Self && !r.othersRunning() {
 		d.Holder, d.Until = "", 0
 	}
 	lead.Switching, lead.Token, lead.Holder = false, r.duty.Token, ""
@@ -326,18 +327,11 @@
 	return len(r.running) > 1
 }
 
-// tidy lets the other replicas follow and tells the old primary that it lost
-// the lead; both find out by themselves as well.
+// tidy tells the old primary that it lost the lead, which it also finds out by
+// itself. The replicas stay paused for the old term: one that was resumed while
+// it is cut off from the new primary would follow the old one again.
 func (r *run) tidy(ctx context.Context, next replicaset.Lead) {
-	var others []replicaset.Member
-	for _, m := range r.set.Members() {
-		switch m.ID {
-		case next.ID:
-		case r.old.ID:
-			r.ask(ctx, []replicaset.Member{m}, engine.Op{Kind: engine.OpDemote, Term: next.Term})
-		default:
-			others = append(others, m)
-		}
+	if old, ok := r.set.Member(r.old.ID); ok && old.ID != next.ID {
+		r.ask(ctx, []replicaset.Member{old}, engine.Op{Kind: engine.OpDemote, Term: next.Term})
 	}
-	r.ask(ctx, others, engine.Op{Kind: engine.OpResume})
 }
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -13,6 +13,9 @@
 	// remotePenalty is what a read in another zone is held to cost: bytes
 	// between zones are dearer than a short wait.
 	remotePenalty = 25 * time.Millisecond
+	// drainLimit is how long a leaving member may get work if nobody else can
+	// do it. Its report may have been on the way for a while.
+	drainLimit = 4 * time.Second
 	// primaryPenalty keeps reads away from the primary, which alone can write.
 	primaryPenalty = 8 * time.Millisecond
 )
@@ -83,7 +86,7 @@
 	}
 	var all []choice
 	for id, m := range s.members {
-		if tried[id] || m.Role == Unknown {
+		if tried[id] || m.Role == Unknown || s.leaving(now, m) {
 			continue
 		}
 		all = append(all, choice{m.Member, s.cost(now, m, need)})
@@ -101,6 +104,31 @@
 	return out
 }
 
+// leaving reports whether a member may get no new work: it leaves, and others
+// stay, or it has been leaving for so long that it may be gone any moment.
+func (s *Set) leaving(now Instant, m *state) bool {
+	if !m.Draining {
+		return false
+	}
+	if now.Sub(m.drainingSince) > drainLimit {
+		return true
+	}
+	for _, o := range s.members {
+		if !o.Draining && o.removedAt == 0 && o.avoidUntil <= now {
+			return true
+		}
+	}
+	return false
+}
+
+// Leaving reports whether a member has been leaving for too long to get work.
+func (s *Set) Leaving(now Instant, id EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	return ok && m.Draining && now.Sub(m.drainingSince) > drainLimit
+}
+
 func (s *Set) cost(now Instant, m *state, need session.Point) time.Duration {
 	cost := s.decayed(now, m)
 	slots := max(m.Slots, 1)
@@ -135,10 +163,13 @@
 }
 
 // Began notes a statement sent to a member.
-func (s *Set) Began(id EndpointID) {
+func (s *Set) Began(now Instant, id EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m, ok := s.members[id]; ok {
+		if m.inFlight == 0 {
+			m.waitingSince = now
+		}
 		m.inFlight++
 	}
 }
@@ -153,11 +184,14 @@
 		return
 	}
 	m.inFlight = max(m.inFlight-1, 0)
+	if m.inFlight == 0 {
+		m.waitingSince = 0
+	}
 	if !answered {
 		m.failed(now)
 		return
 	}
-	m.avoidUntil, m.failingSince = 0, 0
+	m.answered(now)
 	m.position = m.position.Max(p)
 	if m.latency == 0 {
 		m.latency = took
@@ -184,11 +218,18 @@
 }
 
 // Answered notes that a member answered something other than a statement.
-func (s *Set) Answered(id EndpointID) {
+func (s *Set) Answered(now Instant, id EndpointID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m, ok := s.members[id]; ok {
-		m.avoidUntil, m.failingSince = 0, 0
+		m.answered(now)
+	}
+}
+
+func (m *state) answered(now Instant) {
+	m.avoidUntil, m.failingSince = 0, 0
+	if m.waitingSince != 0 {
+		m.waitingSince = now
 	}
 }
 
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -37,6 +37,10 @@
 	latencyAt  Instant
 	inFlight   int
 	position   session.Point
+	// waitingSince is since when a statement waits and nothing was answered.
+	waitingSince Instant
+	// drainingSince is when the member was first known to leave.
+	drainingSince Instant
 	// failingSince is when the member stopped to answer, 0 while it answers.
 	failingSince Instant
 }
@@ -50,7 +54,8 @@
 	members map[EndpointID]*state
 	lead    Lead
 	samples []sample
-	acked   session.Point
+	// provedAt is when the primary was last proved to lead.
+	provedAt Instant
 	// stuckSince is when commits stopped to be answered, 0 while they are.
 	stuckSince Instant
 	changed    chan struct{}
@@ -75,7 +80,7 @@
 }
 
 // Register adds or updates a member.
-func (s *Set) Register(m Member) {
+func (s *Set) Register(now Instant, m Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.members[m.ID]
@@ -87,6 +92,9 @@
 		old.position = session.Point{}
 		old.avoidUntil = 0
 	}
+	if m.Draining && !old.Draining {
+		old.drainingSince = now
+	}
 	changed := old.Member != m || old.removedAt != 0
 	old.Member, old.removedAt = m, 0
 	if s.lead.Version == 0 && m.Role == Primary && (s.lead.ID == "" || s.lead.Term == 0) {
@@ -171,35 +179,53 @@
 		return false
 	}
 	if l.ID != s.lead.ID || l.Term != s.lead.Term {
-		s.samples, s.stuckSince = nil, 0
+		s.samples, s.stuckSince, s.provedAt = nil, 0, 0
 	}
 	s.lead = l
 	s.notify()
 	return true
 }
 
-// LearnTerm notes the term that the leader reports for itself while no record
-// says more.
-func (s *Set) LearnTerm(id EndpointID, t session.Term) {
+// Learn takes what members say of themselves while no promotion is recorded.
+func (s *Set) Learn(l Lead) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.lead.ID == id && s.lead.Term < t && !s.lead.Switching {
-		s.lead.Term = t
+	if s.lead.Version != 0 || l.Term < s.lead.Term {
+		return
+	}
+	if l.ID != s.lead.ID {
+		s.samples, s.stuckSince, s.provedAt = nil, 0, 0
 	}
+	s.lead = l
+	s.notify()
 }
 
-// Acked returns the highest position that this host acknowledged.
-func (s *Set) Acked() session.Point {
+// Prove notes that, at the given moment, some replica followed the primary and
+// was not paused.
+func (s *Set) Prove(l Lead, at Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.acked
+	if l.ID == s.lead.ID && l.Term == s.lead.Term && !s.lead.Switching {
+		s.provedAt = max(s.provedAt, at)
+	}
 }
 
-// Acknowledge notes a position that a caller was told to be committed.
-func (s *Set) Acknowledge(p session.Point) {
+// Proved reports whether the primary was proved to lead within the given time
+// before a moment, or after it.
+func (s *Set) Proved(at Instant, within time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.acked = s.acked.Max(p)
+	return s.provedAt != 0 && !s.lead.Switching && at <= s.provedAt.Add(within)
+}
+
+// ProofAge returns the age of the last proof, 0 without one.
+func (s *Set) ProofAge(now Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.provedAt == 0 {
+		return 0
+	}
+	return now.Sub(s.provedAt)
 }
 
 // Committed notes whether a write or the end of a transaction was answered by
@@ -221,6 +247,9 @@
 	defer s.mu.Unlock()
 	if m, ok := s.members[s.lead.ID]; ok {
 		silent = m.failingSince
+		if silent == 0 || m.waitingSince != 0 && m.waitingSince < silent {
+			silent = m.waitingSince
+		}
 	}
 	return silent, s.stuckSince
 }
