--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -43,7 +43,9 @@
 		if mine {
 			q.err = e.question(g, now)
 			g.answer(q)
-			return q.err
+			if q.err == nil && !g.Proved(came, ProofTime) {
+				return errNoProof
+			}
 		}
 		<-q.done
 		if q.err != nil {
@@ -95,7 +97,7 @@
 		}
 		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_refused", Reason: st.String()})
 		if lead.Version == 0 && st.Term > lead.Term {
-			return e.learnTerm(g, lead)
+			return errors.Join(errNoProof, e.learnTerm(g, lead))
 		}
 	}
 	return errNoProof
@@ -112,9 +114,6 @@
 func (e *Engine) learnTerm(g *group, lead replicaset.Lead) error {
 	found := replicaset.Lead{Version: lead.Version}
 	for _, m := range g.Members() {
-		if m.Role != replicaset.Primary && m.ID != lead.ID {
-			continue
-		}
 		st, err := e.status(m, proofTimeout)
 		if err == nil && st.Role == replicaset.Primary && st.Term > found.Term {
 			found.ID, found.Term = m.ID, st.Term
--- /dev/null
+++ b/internal/engine/proof_test.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// reporters is an engine before endpoints that only report their status.
+func reporters(now *replicaset.Instant, reports map[replicaset.EndpointID]*replicaset.Status) *Engine {
+	e := &Engine{
+		Zone: "z", Now: time.Now, Boot: func() replicaset.Instant { return *now },
+		Event: func(Event) {},
+	}
+	e.Dial = func(_ context.Context, m replicaset.Member) (*Conn, error) {
+		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...Op) ([]Outcome, error) {
+			return []Outcome{{Report: *reports[m.ID]}}, nil
+		}}, nil
+	}
+	for _, id := range []replicaset.EndpointID{"old", "next", "third"} {
+		role := replicaset.Replica
+		if id == "old" {
+			role = replicaset.Primary
+		}
+		e.Group("g").Register(*now, replicaset.Member{ID: id, Group: "g", Address: string(id), Zone: "z", Role: role, Slots: 1})
+	}
+	return e
+}
+
+func TestProof(t *testing.T) {
+	tests := []struct {
+		name              string
+		old, next, third  replicaset.Status
+		proved            bool
+		recordedTerm      session.Term
+		switchingRecorded bool
+	}{
+		{
+			name: "replicas follow", recordedTerm: 1, proved: true,
+			old:   replicaset.Status{Role: replicaset.Primary, Term: 1},
+			next:  replicaset.Status{Role: replicaset.Replica, Term: 1},
+			third: replicaset.Status{Role: replicaset.Replica, Term: 1},
+		},
+		{
+			name: "replicas are paused", recordedTerm: 1,
+			old:   replicaset.Status{Role: replicaset.Primary, Term: 1},
+			next:  replicaset.Status{Role: replicaset.Replica, Term: 1, Held: 2},
+			third: replicaset.Status{Role: replicaset.Replica, Term: 1, Held: 2},
+		},
+		{
+			// A host that is cut off from the store asked a replica of the next
+			// term, learnt the old primary's own term, and took that for a proof.
+			name:  "a host without records meets the next term",
+			old:   replicaset.Status{Role: replicaset.Primary, Term: 1},
+			next:  replicaset.Status{Role: replicaset.Primary, Term: 2},
+			third: replicaset.Status{Role: replicaset.Replica, Term: 2},
+		},
+		{
+			name: "a switch is recorded", recordedTerm: 1, switchingRecorded: true,
+			old:   replicaset.Status{Role: replicaset.Primary, Term: 1},
+			next:  replicaset.Status{Role: replicaset.Replica, Term: 1},
+			third: replicaset.Status{Role: replicaset.Replica, Term: 1},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := replicaset.Instant(time.Minute)
+			e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &tt.old, "next": &tt.next, "third": &tt.third})
+			g := e.group("g")
+			if tt.recordedTerm != 0 {
+				g.SetLead(replicaset.Lead{ID: "old", Term: tt.recordedTerm, Version: 7, Switching: tt.switchingRecorded})
+			}
+			if err := e.prove(g, g.Lead(), now); (err == nil) != tt.proved {
+				t.Fatalf("prove gives %v, want proved %t", err, tt.proved)
+			}
+		})
+	}
+}
+
+// TestProofAges checks that a proof counts for callers who came within its time
+// and that nobody later is served by it.
+func TestProofAges(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	following := replicaset.Status{Role: replicaset.Replica, Term: 1}
+	primary := replicaset.Status{Role: replicaset.Primary, Term: 1}
+	e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &primary, "next": &following, "third": &following})
+	g := e.group("g")
+	g.SetLead(replicaset.Lead{ID: "old", Term: 1, Version: 7})
+	if err := e.prove(g, g.Lead(), now); err != nil {
+		t.Fatal(err)
+	}
+	following.Held = 2
+	if err := e.prove(g, g.Lead(), now.Add(ProofTime)); err != nil {
+		t.Errorf("within the proof's time: %v", err)
+	}
+	if err := e.prove(g, g.Lead(), now.Add(ProofTime+time.Millisecond)); err == nil {
+		t.Error("after the proof's time a paused group still counts as led by the old primary")
+	}
+}
