Stand-ins of the platform, tests of the adapter; a full endpoint is left alone for a while

Ruled out: the endpoint's own limit, which is right. TestPoolBacksOffFromFullEndpoint was red before.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -149,7 +149,7 @@
 }
 
 func (p *pool) mayOpen() bool {
-	return !p.closed && p.open < p.limit && (p.open == 0 || p.now().After(p.fullUntil))
+	return !p.closed && p.open < p.limit && p.now().After(p.fullUntil)
 }
 
 func (p *pool) connect(deadline time.Time, class int) (*Conn, error) {
--- /dev/null
+++ b/internal/engine/pool_test.go
@@ -0,0 +1,103 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+)
+
+func testPool(dial func(context.Context, replicaset.Member) (*Conn, error)) (*pool, *time.Time) {
+	now := time.Now()
+	p := &pool{dial: dial, now: func() time.Time { return now }}
+	p.setShare(1, 2)
+	return p, &now
+}
+
+// TestPoolBacksOffFromFullEndpoint answers the load of many hosts before an
+// endpoint whose connections are all taken: each statement that waited tried to
+// connect again at once, and an endpoint spent its time on refusals.
+func TestPoolBacksOffFromFullEndpoint(t *testing.T) {
+	dials := 0
+	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) {
+		dials++
+		return nil, &DialError{Code: TooManyConnections}
+	})
+	for range 100 {
+		if _, err := p.acquire(now.Add(time.Second), classRead, nil); err == nil {
+			t.Fatal("a full endpoint gave a connection")
+		}
+	}
+	if dials != 1 {
+		t.Errorf("%d dials within the back-off, want 1", dials)
+	}
+	*now = now.Add(fullBackoff + time.Millisecond)
+	_, err := p.acquire(now.Add(time.Second), classRead, nil)
+	var refused *DialError
+	if !errors.As(err, &refused) || dials != 2 {
+		t.Errorf("after the back-off: %v after %d dials, want one more", err, dials)
+	}
+}
+
+// TestPoolHandsOnWritesFirst answers the load of transactions that pin all
+// connections: who waits for a write gets the next one before readers.
+func TestPoolHandsOnWritesFirst(t *testing.T) {
+	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
+	deadline := now.Add(time.Minute)
+	a, _ := p.acquire(deadline, classRead, nil)
+	if b, err := p.acquire(deadline, classRead, nil); err != nil || b == a {
+		t.Fatal("no second connection")
+	}
+	got := make(chan string, 2)
+	wait := func(class int, name string, waiting int) {
+		go func() {
+			c, err := p.acquire(deadline, class, nil)
+			if err == nil {
+				got <- name
+				p.release(c)
+			}
+		}()
+		for _, _, n := p.load(); n < waiting; _, _, n = p.load() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	wait(classRead, "read", 1)
+	wait(classWrite, "write", 2)
+	p.release(a)
+	if first := <-got; first != "write" {
+		t.Errorf("%s goes first", first)
+	}
+	<-got
+}
+
+// TestPoolFailsWaitersOfLostEndpoint answers an endpoint that dies with all
+// connections: those who wait for one are told at once.
+func TestPoolFailsWaitersOfLostEndpoint(t *testing.T) {
+	up := true
+	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) {
+		if !up {
+			return nil, errors.New("refused")
+		}
+		return &Conn{Close: func() {}}, nil
+	})
+	deadline := now.Add(time.Minute)
+	a, _ := p.acquire(deadline, classRead, nil)
+	b, _ := p.acquire(deadline, classRead, nil)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := p.acquire(deadline, classRead, nil)
+		failed <- err
+	}()
+	for _, _, n := p.load(); n < 1; _, _, n = p.load() {
+		time.Sleep(time.Millisecond)
+	}
+	up = false
+	a.broken, b.broken = true, true
+	p.release(a)
+	p.release(b)
+	if err := <-failed; err == nil {
+		t.Error("a waiter got a connection of a dead endpoint")
+	}
+}
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -16,7 +16,7 @@
 		Event: func(Event) {},
 	}
 	e.Dial = func(_ context.Context, m replicaset.Member) (*Conn, error) {
-		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...Op) ([]Outcome, error) {
+		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(time.Time, ...Op) ([]Outcome, error) {
 			return []Outcome{{Report: *reports[m.ID]}}, nil
 		}}, nil
 	}
