Hosts lend each other connections where an endpoint takes fewer than there are hosts

Cause: 25 connections an endpoint before 79 hosts; a share per host ends there, and hosts without a connection refused what others could have served.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -62,6 +62,8 @@
 	Do func(deadline time.Time, ops ...Op) ([]Outcome, error)
 	// Close ends the connection at once.
 	Close func()
+	// GiveBack returns a borrowed connection; nil for one of this host.
+	GiveBack func(*Conn)
 
 	values   map[string]string
 	prepared map[Shape]string
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -32,6 +32,8 @@
 	return out[0].Report, nil
 }
 
+// controlConn prefers a connection that stands: an endpoint whose connections
+// are all taken would refuse another one.
 func (e *Engine) controlConn(ctx context.Context, p *pool) (*Conn, func(), error) {
 	p.mu.Lock()
 	c := p.takeIdle(nil)
@@ -39,6 +41,13 @@
 	if c != nil {
 		return c, func() { p.release(c) }, nil
 	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = e.Now().Add(proofTimeout)
+	}
+	if c, err := e.acquire(p, deadline, classWrite, nil); err == nil {
+		return c, func() { p.release(c) }, nil
+	}
 	c, err := e.Dial(ctx, p.member)
 	if err != nil {
 		return nil, nil, err
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,11 @@
 	Boot func() replicaset.Instant
 	// Dial opens a connection to an endpoint.
 	Dial func(ctx context.Context, m replicaset.Member) (*Conn, error)
+	// Lenders, if set, tells who holds connections to an endpoint for this host,
+	// and how many zones share the endpoint; 0 where each host holds its own.
+	Lenders func(id replicaset.EndpointID, maxConnections int) (addresses []string, zones int)
+	// Borrow gets a connection from one of them.
+	Borrow func(deadline time.Time, address string, m replicaset.Member, class int, values map[string]string) (*Conn, error)
 	// Event reports a decision; it must not block.
 	Event func(Event)
 
@@ -181,7 +186,7 @@
 	}
 	if !ok {
 		p = &pool{member: m, dial: e.Dial, now: e.Now}
-		p.setShare(shares(g.policy.MaxConnections, hosts))
+		p.setShare(g.policy.MaxConnections, hosts)
 		g.pools[m.ID] = p
 	}
 	return p
@@ -192,7 +197,7 @@
 	defer g.mu.Unlock()
 	g.policy = policy
 	for _, p := range g.pools {
-		p.setShare(shares(policy.MaxConnections, hosts))
+		p.setShare(policy.MaxConnections, hosts)
 	}
 }
 
--- /dev/null
+++ b/internal/engine/lending.go
@@ -0,0 +1,87 @@
+package engine
+
+import (
+	"errors"
+	"maps"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// maxLenders bounds how many hosts are asked for a connection.
+const maxLenders = 3
+
+// ErrLenderAway says that another host could not be asked for a connection.
+var ErrLenderAway = errors.New("lending host is away")
+
+// ErrFull says that no connection to an endpoint is to be had.
+var ErrFull = errFull
+
+// Lend takes a connection for another host, and returns how to give it back.
+func (e *Engine) Lend(name session.Group, id replicaset.EndpointID, deadline time.Time, class int, values map[string]string) (*Conn, func(*Conn), error) {
+	g := e.group(name)
+	m, ok := g.Member(id)
+	if !ok {
+		return nil, nil, &DialError{Code: WrongEndpoint}
+	}
+	p := e.pool(g, m)
+	c, err := p.own(deadline, class, values)
+	return c, p.release, err
+}
+
+// Break marks a connection as one that must not be used again.
+func (c *Conn) Break() { c.broken = true }
+
+// Broken reports whether the connection must not be used again.
+func (c *Conn) Broken() bool { return c.broken }
+
+// SessionState returns what the connection carries of a session.
+func (c *Conn) SessionState() (values map[string]string, prepared map[Shape]string) {
+	return maps.Clone(c.values), maps.Clone(c.prepared)
+}
+
+// SetSessionState notes what the connection carries of a session.
+func (c *Conn) SetSessionState(values map[string]string, prepared map[Shape]string) {
+	c.values, c.prepared = values, prepared
+}
+
+// acquire returns a connection of this host or a borrowed one.
+func (e *Engine) acquire(p *pool, deadline time.Time, class int, values map[string]string) (*Conn, error) {
+	if e.Lenders == nil {
+		return p.own(deadline, class, values)
+	}
+	lenders, zones := e.Lenders(p.member.ID, p.maxConnections())
+	if zones == 0 {
+		return p.own(deadline, class, values)
+	}
+	p.lendTo(zones)
+	for i, address := range lenders {
+		if address == "" {
+			return p.own(deadline, class, values)
+		}
+		if i == maxLenders {
+			break
+		}
+		c, err := e.Borrow(deadline, address, p.member, class, values)
+		if !errors.Is(err, ErrLenderAway) {
+			return c, err
+		}
+		e.event(Event{Group: p.member.Group, Endpoint: p.member.ID, Decision: "lender_away", Reason: err.Error()})
+	}
+	return nil, errFull
+}
+
+func (p *pool) maxConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endpointLimit
+}
+
+// lendTo sets the share of a host that holds all connections of its zone.
+func (p *pool) lendTo(zones int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = max(p.endpointLimit/zones, 1)
+	p.limit = p.share + (p.share+1)/2
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -47,27 +47,30 @@
 	dial   func(ctx context.Context, m replicaset.Member) (*Conn, error)
 	now    func() time.Time
 
-	mu        sync.Mutex
-	idle      []*Conn
-	open      int
-	share     int
-	limit     int
-	fullUntil time.Time
-	waiting   []*waiter
-	closed    bool
+	mu    sync.Mutex
+	idle  []*Conn
+	open  int
+	share int
+	limit int
+	// endpointLimit is what the endpoint takes from all hosts together.
+	endpointLimit int
+	fullUntil     time.Time
+	waiting       []*waiter
+	closed        bool
 }
 
 // setShare sets how many connections the host may always hold, and how many it
 // may borrow while others leave theirs unused.
-func (p *pool) setShare(share, limit int) {
+func (p *pool) setShare(endpointLimit, hosts int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share, p.limit = max(share, 1), max(limit, 1)
+	p.endpointLimit = endpointLimit
+	p.share, p.limit = shares(endpointLimit, hosts)
 }
 
-// acquire returns a connection, preferring one that has the given values.
+// own returns a connection that this host holds, preferring one that has the given values.
 // Lower classes go first.
-func (p *pool) acquire(deadline time.Time, class int, values map[string]string) (*Conn, error) {
+func (p *pool) own(deadline time.Time, class int, values map[string]string) (*Conn, error) {
 	p.mu.Lock()
 	if c := p.takeIdle(values); c != nil {
 		p.mu.Unlock()
@@ -194,6 +197,10 @@
 
 // release hands a connection on.
 func (p *pool) release(c *Conn) {
+	if c.GiveBack != nil {
+		c.GiveBack(c)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.broken || p.closed {
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -12,7 +12,7 @@
 func testPool(dial func(context.Context, replicaset.Member) (*Conn, error)) (*pool, *time.Time) {
 	now := time.Now()
 	p := &pool{dial: dial, now: func() time.Time { return now }}
-	p.setShare(1, 2)
+	p.setShare(0, 1)
 	return p, &now
 }
 
@@ -26,7 +26,7 @@
 		return nil, &DialError{Code: TooManyConnections}
 	})
 	for range 100 {
-		if _, err := p.acquire(now.Add(time.Second), classRead, nil); err == nil {
+		if _, err := p.own(now.Add(time.Second), classRead, nil); err == nil {
 			t.Fatal("a full endpoint gave a connection")
 		}
 	}
@@ -34,7 +34,7 @@
 		t.Errorf("%d dials within the back-off, want 1", dials)
 	}
 	*now = now.Add(fullBackoff + time.Millisecond)
-	_, err := p.acquire(now.Add(time.Second), classRead, nil)
+	_, err := p.own(now.Add(time.Second), classRead, nil)
 	var refused *DialError
 	if !errors.As(err, &refused) || dials != 2 {
 		t.Errorf("after the back-off: %v after %d dials, want one more", err, dials)
@@ -46,14 +46,14 @@
 func TestPoolHandsOnWritesFirst(t *testing.T) {
 	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
 	deadline := now.Add(time.Minute)
-	a, _ := p.acquire(deadline, classRead, nil)
-	if b, err := p.acquire(deadline, classRead, nil); err != nil || b == a {
+	a, _ := p.own(deadline, classRead, nil)
+	if b, err := p.own(deadline, classRead, nil); err != nil || b == a {
 		t.Fatal("no second connection")
 	}
 	got := make(chan string, 2)
 	wait := func(class int, name string, waiting int) {
 		go func() {
-			c, err := p.acquire(deadline, class, nil)
+			c, err := p.own(deadline, class, nil)
 			if err == nil {
 				got <- name
 				p.release(c)
@@ -83,11 +83,11 @@
 		return &Conn{Close: func() {}}, nil
 	})
 	deadline := now.Add(time.Minute)
-	a, _ := p.acquire(deadline, classRead, nil)
-	b, _ := p.acquire(deadline, classRead, nil)
+	a, _ := p.own(deadline, classRead, nil)
+	b, _ := p.own(deadline, classRead, nil)
 	failed := make(chan error, 1)
 	go func() {
-		_, err := p.acquire(deadline, classRead, nil)
+		_, err := p.own(deadline, classRead, nil)
 		failed <- err
 	}()
 	for _, _, n := p.load(); n < 1; _, _, n = p.load() {
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -82,7 +82,7 @@
 // endpoint may have got it.
 func (s *CallerSession) at(a attempt, w work) (o Outcome, sent bool, err error) {
 	p := s.e.pool(a.g, a.member)
-	c, err := p.acquire(a.until, a.class, s.values)
+	c, err := s.e.acquire(p, a.until, a.class, s.values)
 	if err != nil {
 		s.noConnection(a, err)
 		return refusal(err), false, err
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -85,7 +85,7 @@
 // whether the transaction stands, or failed in a way that is final.
 func (s *CallerSession) start(a attempt, lead replicaset.Lead, w work) (Outcome, bool, error) {
 	p := s.e.pool(a.g, a.member)
-	c, err := p.acquire(a.until, a.class, s.values)
+	c, err := s.e.acquire(p, a.until, a.class, s.values)
 	if err != nil {
 		s.noConnection(a, err)
 		return refusal(err), false, err
@@ -210,7 +210,7 @@
 		}
 		tried[a.member.ID] = true
 		p := s.e.pool(g, a.member)
-		c, err := p.acquire(a.until, a.class, s.values)
+		c, err := s.e.acquire(p, a.until, a.class, s.values)
 		if err != nil {
 			s.noConnection(a, err)
 			continue
