A host without a connection to a full endpoint waits 30 ms, not 250

Cause: after all hosts were killed, endpoints hold dead connections for seconds; hosts that had none refused what waited instead of trying again soon.

--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -12,9 +12,10 @@
 const (
 	// dialTimeout bounds the set-up of one connection to an endpoint.
 	dialTimeout = 600 * time.Millisecond
-	// fullBackoff is how long a pool opens nothing after an endpoint had no
-	// connection to give.
-	fullBackoff = 250 * time.Millisecond
+	// fullBackoff is how long a pool opens nothing more after an endpoint had
+	// no connection to give, and emptyBackoff the same for a pool that has none.
+	fullBackoff  = 250 * time.Millisecond
+	emptyBackoff = 30 * time.Millisecond
 	// surplusIdle is how long a connection above the host's share is kept.
 	surplusIdle = 400 * time.Millisecond
 )
@@ -72,6 +73,11 @@
 // Lower classes go first.
 func (p *pool) own(deadline time.Time, class int, values map[string]string) (*Conn, error) {
 	p.mu.Lock()
+	if rest := p.fullUntil.Sub(p.now()); p.open == 0 && rest > 0 && p.fullUntil.Before(deadline) {
+		p.mu.Unlock()
+		time.Sleep(rest)
+		p.mu.Lock()
+	}
 	if c := p.takeIdle(values); c != nil {
 		p.mu.Unlock()
 		return c, nil
@@ -170,7 +176,7 @@
 	var refused *DialError
 	full := errors.As(err, &refused) && refused.Code == TooManyConnections
 	if full {
-		p.fullUntil = p.now().Add(fullBackoff)
+		p.fullUntil = p.now().Add(p.backoff())
 	}
 	others := p.open
 	if !full || others == 0 {
@@ -184,6 +190,13 @@
 	return p.wait(w, deadline, class)
 }
 
+func (p *pool) backoff() time.Duration {
+	if p.open == 0 {
+		return emptyBackoff
+	}
+	return fullBackoff
+}
+
 // failWaiters sends those away who wait for connections that don't exist.
 func (p *pool) failWaiters() {
 	if p.open > 0 {
