--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -36,19 +37,23 @@
 // are all taken would refuse another one.
 func (e *Engine) controlConn(ctx context.Context, p *pool) (*Conn, func(), error) {
 	p.mu.Lock()
-	c := p.takeIdle(nil)
+	idle := p.takeIdle(nil)
 	p.mu.Unlock()
-	if c != nil {
-		return c, func() { p.release(c) }, nil
+	if idle != nil {
+		return idle, func() { p.release(idle) }, nil
 	}
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = e.Now().Add(proofTimeout)
 	}
-	if c, err := e.acquire(p, deadline, classWrite, nil); err == nil {
+	c, err := e.acquire(p, deadline, classWrite, nil)
+	if err == nil {
 		return c, func() { p.release(c) }, nil
 	}
-	c, err := e.Dial(ctx, p.member)
+	if errors.Is(err, errFull) || errors.Is(err, errNoConnection) {
+		return nil, nil, err
+	}
+	c, err = e.Dial(ctx, p.member)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,8 +21,8 @@
 	// Dial opens a connection to an endpoint.
 	Dial func(ctx context.Context, m replicaset.Member) (*Conn, error)
 	// Lenders, if set, tells who holds connections to an endpoint for this host,
-	// and how many zones share the endpoint; 0 where each host holds its own.
-	Lenders func(id replicaset.EndpointID, maxConnections int) (addresses []string, zones int)
+	// and how many hosts share them; 0 where each host holds its own.
+	Lenders func(m replicaset.Member, maxConnections int) (addresses []string, holders int)
 	// Borrow gets a connection from one of them.
 	Borrow func(deadline time.Time, address string, m replicaset.Member, class int, values map[string]string) (*Conn, error)
 	// Event reports a decision; it must not block.
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -51,11 +51,11 @@
 	if e.Lenders == nil {
 		return p.own(deadline, class, values)
 	}
-	lenders, zones := e.Lenders(p.member.ID, p.maxConnections())
-	if zones == 0 {
+	lenders, holders := e.Lenders(p.member, p.maxConnections())
+	if holders == 0 {
 		return p.own(deadline, class, values)
 	}
-	p.lendTo(zones)
+	p.shareWith(holders)
 	for i, address := range lenders {
 		if address == "" {
 			return p.own(deadline, class, values)
@@ -78,10 +78,11 @@
 	return p.endpointLimit
 }
 
-// lendTo sets the share of a host that holds all connections of its zone.
-func (p *pool) lendTo(zones int) {
+// shareWith sets the share of a host that holds an endpoint's connections
+// together with others.
+func (p *pool) shareWith(holders int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share = max(p.endpointLimit/zones, 1)
-	p.limit = p.share + (p.share+1)/2
+	p.share = max(p.endpointLimit/holders, 1)
+	p.limit = p.share
 }
--- a/internal/lending/doc.go
+++ b/internal/lending/doc.go
@@ -1,9 +1,8 @@
 // Package lending lets entry hosts use each other's connections to endpoints.
-// Where an endpoint takes fewer connections than there are hosts, few hosts of
-// each availability zone hold them all, and the others borrow one for the time
-// of a statement or a transaction. Who holds those to which endpoint follows
-// from rendezvous hashing over the hosts of the zone, weighted by their size, so
-// that nobody has to agree on it.
+// Where an endpoint takes fewer connections than there are hosts, two hosts of
+// its availability zone hold them all, and the others borrow one for the time of
+// a statement or a transaction. Which two follows from rendezvous hashing over
+// the hosts of the zone, weighted by their size, so that nobody has to agree.
 //
 // Hosts speak CBOR over one WebSocket from borrower to lender. A link that
 // breaks ends what was borrowed over it: the lender closes the connections,
@@ -12,7 +11,7 @@
 //
 // # Usage
 //
-//	ring := &lending.Ring{Self: "host-1", Zone: "zone-a"}
+//	ring := &lending.Ring{Self: "host-1", Now: time.Now}
 //	ring.Set(peers)
 //	borrower := &lending.Borrower{}
 //	lender := &lending.Lender{Engine: e}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -75,6 +75,7 @@
 	Name, Value    string
 	ShapeWrites    bool
 	ShapeText      string
+	PauseTerm      uint64
 }
 
 type outcome struct {
@@ -85,6 +86,16 @@
 	Digest         string
 	State          engine.TxState
 	Term, Position uint64
+	Report         *report
+}
+
+type report struct {
+	_              struct{} `cbor:",toarray"`
+	Role           replicaset.Role
+	Term, Held     uint64
+	ReceivedTerm   uint64
+	ReceivedNumber uint64
+	LagMS          int64
 }
 
 func encode(v any) ([]byte, error) { return cbor.Marshal(v) }
@@ -95,7 +106,7 @@
 		out[i] = op{
 			Kind: o.Kind, ID: o.ID, Text: o.Text, Name: o.Name, Value: o.Value,
 			Term: uint64(o.After.Term), Position: uint64(o.After.Position),
-			ShapeWrites: o.Shape.Writes, ShapeText: o.Shape.Text,
+			ShapeWrites: o.Shape.Writes, ShapeText: o.Shape.Text, PauseTerm: uint64(o.Term),
 		}
 	}
 	return out
@@ -107,6 +118,7 @@
 		out[i] = engine.Op{
 			Kind: o.Kind, ID: o.ID, Text: o.Text, Name: o.Name, Value: o.Value,
 			After: point(o.Term, o.Position), Shape: engine.Shape{Writes: o.ShapeWrites, Text: o.ShapeText},
+			Term: session.Term(o.PauseTerm),
 		}
 	}
 	return out
@@ -117,7 +129,7 @@
 	for i, o := range outcomes {
 		out[i] = outcome{
 			Code: o.Code, Reason: o.Reason, Rows: o.Rows, Digest: o.Digest, State: o.State,
-			Term: uint64(o.Point.Term), Position: uint64(o.Point.Position),
+			Term: uint64(o.Point.Term), Position: uint64(o.Point.Position), Report: wireReport(o.Report),
 		}
 	}
 	return out
@@ -128,12 +140,32 @@
 	for i, o := range outcomes {
 		out[i] = engine.Outcome{
 			Code: o.Code, Reason: o.Reason, Rows: o.Rows, Digest: o.Digest, State: o.State,
-			Point: point(o.Term, o.Position),
+			Point: point(o.Term, o.Position), Report: o.Report.status(),
 		}
 	}
 	return out
 }
 
+func wireReport(st replicaset.Status) *report {
+	if st.Role == replicaset.Unknown {
+		return nil
+	}
+	return &report{
+		Role: st.Role, Term: uint64(st.Term), Held: uint64(st.Held), LagMS: millis(st.Lag),
+		ReceivedTerm: uint64(st.Received.Term), ReceivedNumber: uint64(st.Received.Position),
+	}
+}
+
+func (r *report) status() replicaset.Status {
+	if r == nil {
+		return replicaset.Status{}
+	}
+	return replicaset.Status{
+		Role: r.Role, Term: session.Term(r.Term), Held: session.Term(r.Held),
+		Received: point(r.ReceivedTerm, r.ReceivedNumber), Lag: time.Duration(r.LagMS) * time.Millisecond,
+	}
+}
+
 func point(term, position uint64) session.Point {
 	return session.Point{Term: session.Term(term), Position: session.Position(position)}
 }
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -14,6 +14,9 @@
 // downTime is how long a host that did not answer is passed over.
 const downTime = 1500 * time.Millisecond
 
+// holdersPerEndpoint is how many hosts share an endpoint's connections.
+const holdersPerEndpoint = 2
+
 // Peer is an entry host that may lend.
 type Peer struct {
 	Name, Zone, Address string
@@ -23,13 +26,11 @@
 
 // Ring chooses who holds the connections to an endpoint.
 type Ring struct {
-	Self, Zone string
-	Now        func() time.Time
+	Self string
+	Now  func() time.Time
 
 	mu    sync.Mutex
 	peers []Peer
-	zones int
-	hosts int
 	down  map[string]time.Time
 }
 
@@ -37,15 +38,7 @@
 func (r *Ring) Set(peers []Peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	zones := make(map[string]bool)
-	r.peers = r.peers[:0]
-	for _, p := range peers {
-		zones[p.Zone] = true
-		if p.Zone == r.Zone {
-			r.peers = append(r.peers, p)
-		}
-	}
-	r.zones, r.hosts = len(zones), len(peers)
+	r.peers = append(r.peers[:0], peers...)
 }
 
 // Down notes that a host did not answer.
@@ -58,13 +51,14 @@
 	r.down[address] = r.Now().Add(downTime)
 }
 
-// Lenders returns how many zones share the endpoint's connections and who holds
-// those of this host's zone, the first choice first; an empty address is this
-// host. Zones is 0 where each host holds its own.
-func (r *Ring) Lenders(id replicaset.EndpointID, maxConnections int) (addresses []string, zones int) {
+// Lenders returns who holds the connections to an endpoint, the one that this
+// host asks first at the start, and how many share them; an empty address is
+// this host. Holders is 0 where each host holds its own. The holders are hosts of
+// the endpoint's zone, so that one pool serves all zones.
+func (r *Ring) Lenders(m replicaset.Member, maxConnections int) (addresses []string, holders int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if maxConnections == 0 || maxConnections >= r.hosts || len(r.peers) == 0 {
+	if maxConnections == 0 || maxConnections >= len(r.peers) {
 		return nil, 0
 	}
 	type rank struct {
@@ -72,22 +66,39 @@
 		score   float64
 	}
 	now := r.Now()
-	ranks := make([]rank, 0, len(r.peers))
-	for _, p := range r.peers {
+	var ranks []rank
+	for _, p := range r.candidates(m.Zone) {
 		address := p.Address
 		if p.Name == r.Self {
 			address = ""
 		}
-		if now.Before(r.down[address]) {
-			continue
+		if address == "" || !now.Before(r.down[address]) {
+			ranks = append(ranks, rank{address, score(p, m.ID)})
 		}
-		ranks = append(ranks, rank{address, score(p, id)})
 	}
 	sort.Slice(ranks, func(i, j int) bool { return ranks[i].score > ranks[j].score })
 	for _, k := range ranks {
 		addresses = append(addresses, k.address)
 	}
-	return addresses, r.zones
+	holders = min(holdersPerEndpoint, len(addresses))
+	if holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1) {
+		addresses[0], addresses[1] = addresses[1], addresses[0]
+	}
+	return addresses, holders
+}
+
+// candidates are the hosts of a zone, or all where it has none.
+func (r *Ring) candidates(zone string) []Peer {
+	var out []Peer
+	for _, p := range r.peers {
+		if p.Zone == zone {
+			out = append(out, p)
+		}
+	}
+	if out == nil {
+		return r.peers
+	}
+	return out
 }
 
 // score ranks a host for an endpoint; the chance to come first grows with the
