A host that does not reach an endpoint borrows a connection from one that does

Reads of the latest state had one try for all their time. Ruled out: a promotion, which would be wrong; its replicas hear the primary. TestDetour covers the load.

--- /dev/null
+++ b/internal/engine/detour_test.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+)
+
+// TestDetour answers a primary that is cut off from some hosts but lives: those
+// reach it through a host that it is not cut off from, and go back to the
+// direct way when it is open again.
+func TestDetour(t *testing.T) {
+	var open atomic.Bool
+	var borrowed atomic.Int64
+	e := &Engine{Zone: "z", Now: time.Now, Boot: func() replicaset.Instant { return 1 }, Event: func(Event) {}}
+	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+		if !open.Load() {
+			return nil, errors.New("i/o timeout")
+		}
+		return &Conn{Close: func() {}}, nil
+	}
+	e.Lenders = func(replicaset.Member, int) ([]string, int) { return nil, 0 }
+	e.Detours = func(replicaset.Member) []string { return []string{"away", "near"} }
+	e.Borrow = func(_ time.Time, address string, _ replicaset.Member, _ int, _ map[string]string) (*Conn, error) {
+		if address == "away" {
+			return nil, ErrLenderAway
+		}
+		borrowed.Add(1)
+		return &Conn{GiveBack: func(*Conn) {}}, nil
+	}
+	m := replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}
+	p := e.pool(e.group("g"), m)
+	for range 3 {
+		if _, err := e.acquire(p, time.Now().Add(time.Second), classRead, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := borrowed.Load(); n != 3 {
+		t.Errorf("%d of 3 connections were borrowed", n)
+	}
+	open.Store(true)
+	for end := time.Now().Add(5 * time.Second); p.cutOff(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the direct way is not taken again")
+		}
+	}
+	if c, err := e.acquire(p, time.Now().Add(time.Second), classRead, nil); err != nil || c.GiveBack != nil {
+		t.Errorf("a connection is borrowed though the endpoint is reached (%v)", err)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,9 @@
 	// Lenders, if set, tells who holds connections to an endpoint for this host,
 	// and how many hosts share them; 0 where each host holds its own.
 	Lenders func(m replicaset.Member, maxConnections int) (addresses []string, holders int)
+	// Detours lists the hosts to ask for a connection to an endpoint that this
+	// host does not reach, the first choice first.
+	Detours func(m replicaset.Member) (addresses []string)
 	// Borrow gets a connection from one of them.
 	Borrow func(deadline time.Time, address string, m replicaset.Member, class int, values map[string]string) (*Conn, error)
 	// Event reports a decision; it must not block.
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -53,7 +53,7 @@
 	}
 	lenders, holders := e.Lenders(p.member, p.maxConnections())
 	if holders == 0 {
-		return p.own(deadline, class, values)
+		return e.direct(p, deadline, class, values)
 	}
 	p.shareWith(holders)
 	for i, address := range lenders {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -11,7 +11,7 @@
 
 const (
 	// dialTimeout bounds the set-up of one connection to an endpoint.
-	dialTimeout = 600 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
 	// fullBackoff is how long a pool opens nothing more after an endpoint had
 	// no connection to give, and emptyBackoff the same for a pool that has none.
 	fullBackoff  = 250 * time.Millisecond
@@ -58,6 +58,9 @@
 	fullUntil     time.Time
 	waiting       []*waiter
 	closed        bool
+	// isCut is set while this host does not reach the endpoint.
+	isCut         bool
+	noDetourUntil time.Time
 }
 
 // setShare sets how many connections the host may always hold, and how many it
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -269,7 +269,7 @@
 			s.pause(g, deadline)
 			continue
 		}
-		o, _, err := s.at(attempt{g: g, member: m, class: classRead, until: deadline, deadline: deadline}, w)
+		o, _, err := s.at(s.readAttempt(g, m, deadline, true), w)
 		if err == nil && !o.Code.notRun() {
 			return o
 		}
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -17,6 +17,9 @@
 // holdersPerEndpoint is how many hosts share an endpoint's connections.
 const holdersPerEndpoint = 2
 
+// maxDetours is how many hosts are asked for a way to an endpoint.
+const maxDetours = 2
+
 // Peer is an entry host that may lend.
 type Peer struct {
 	Name, Zone, Address string
@@ -87,6 +90,22 @@
 	return addresses, holders
 }
 
+// Detours returns hosts that may reach an endpoint which this one does not: of
+// its zone first, then others.
+func (r *Ring) Detours(m replicaset.Member) (addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	for _, near := range []bool{true, false} {
+		for _, p := range r.peers {
+			if (p.Zone == m.Zone) == near && p.Name != r.Self && !now.Before(r.down[p.Address]) {
+				addresses = append(addresses, p.Address)
+			}
+		}
+	}
+	return addresses[:min(len(addresses), maxDetours)]
+}
+
 // candidates are the hosts of a zone, or all where it has none.
 func (r *Ring) candidates(zone string) []Peer {
 	var out []Peer
