--- /dev/null
+++ b/internal/failover/manager_test.go
@@ -0,0 +1,228 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// world is a group of three endpoints and a store, without any I/O.
+type world struct {
+	mu       sync.Mutex
+	reports  map[replicaset.EndpointID]replicaset.Status
+	silent   map[replicaset.EndpointID]bool
+	pauses   []session.Term
+	promoted []replicaset.EndpointID
+	tokens   []uint64
+	state    State
+	version  uint64
+	conflict bool
+}
+
+func at(t, n int) session.Point {
+	return session.Point{Term: session.Term(t), Position: session.Position(n)}
+}
+
+func newWorld() *world {
+	return &world{
+		silent: make(map[replicaset.EndpointID]bool),
+		reports: map[replicaset.EndpointID]replicaset.Status{
+			"p": {Role: replicaset.Primary, Term: 1, Received: at(1, 9)},
+			"a": {Role: replicaset.Replica, Term: 1, Received: at(1, 8)},
+			"b": {Role: replicaset.Replica, Term: 1, Received: at(1, 9)},
+		},
+		state: State{Leads: make(map[session.Group]replicaset.Lead)},
+	}
+}
+
+func (w *world) answer(id replicaset.EndpointID, op engine.Op) (engine.Outcome, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent[id] {
+		return engine.Outcome{}, context.DeadlineExceeded
+	}
+	st := w.reports[id]
+	if op.Kind == engine.OpPause {
+		st.Held = op.Term
+		w.pauses = append(w.pauses, op.Term)
+		w.reports[id] = st
+	}
+	return engine.Outcome{Report: st}, nil
+}
+
+func (w *world) promote(_ context.Context, _ session.Group, id replicaset.EndpointID, _ string, token uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.promoted = append(w.promoted, id)
+	w.tokens = append(w.tokens, token)
+	st := w.reports[id]
+	st.Role, st.Term, st.Held = replicaset.Primary, st.Term+1, 0
+	w.reports[id] = st
+	return nil
+}
+
+func (w *world) read(context.Context) (State, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := State{Duty: w.state.Duty, Now: w.state.Now, Leads: make(map[session.Group]replicaset.Lead)}
+	for g, l := range w.state.Leads {
+		st.Leads[g] = l
+	}
+	return st, nil
+}
+
+func (w *world) write(_ context.Context, c Change) (uint64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.conflict || c.Duty.Version != w.state.Duty.Version || c.Lead.Version != w.state.Leads[c.Group].Version {
+		return 0, ErrConflict
+	}
+	w.version++
+	c.Duty.Version, c.Lead.Version = w.version, w.version
+	w.state.Duty, w.state.Leads[c.Group] = c.Duty, c.Lead
+	return w.version, nil
+}
+
+func (w *world) manager(t *testing.T) (*Manager, *replicaset.Set) {
+	start := time.Now()
+	boot := func() replicaset.Instant { return replicaset.Instant(time.Minute + time.Since(start)) }
+	e := &engine.Engine{Zone: "z", Now: time.Now, Boot: boot, Event: func(v engine.Event) {
+		t.Logf("%s %s %s", v.Decision, v.Endpoint, v.Reason)
+	}}
+	e.Dial = func(_ context.Context, m replicaset.Member) (*engine.Conn, error) {
+		return &engine.Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...engine.Op) ([]engine.Outcome, error) {
+			o, err := w.answer(m.ID, ops[0])
+			return []engine.Outcome{o}, err
+		}}, nil
+	}
+	e.Apply(&engine.Declared{Version: 1, Groups: map[session.Group]engine.GroupPolicy{"g": {MaxConnections: 9, Synchronous: true}}})
+	set := e.Group("g")
+	for _, id := range []replicaset.EndpointID{"p", "a", "b"} {
+		set.Register(boot(), replicaset.Member{ID: id, Group: "g", Address: string(id), Role: w.reports[id].Role, Slots: 1, Started: 1})
+	}
+	return &Manager{
+		Self: "host-1", Engine: e, Promote: w.promote, Records: Records{Read: w.read, Write: w.write},
+	}, set
+}
+
+func TestSwitchover(t *testing.T) {
+	tests := []struct {
+		name     string
+		reason   string
+		change   func(w *world, set *replicaset.Set)
+		promoted replicaset.EndpointID
+		lead     replicaset.EndpointID
+	}{
+		{"the furthest replica leads", reasonSilent, func(w *world, _ *replicaset.Set) { w.silent["p"] = true }, "b", "b"},
+		{"a primary that leaves", reasonDraining, func(*world, *replicaset.Set) {}, "b", "b"},
+		{"a replica does not answer and may hold more", reasonSilent, func(w *world, _ *replicaset.Set) {
+			w.silent["p"], w.silent["b"] = true, true
+		}, "", "p"},
+		{"a replica came back without its log", reasonSilent, func(w *world, set *replicaset.Set) {
+			w.silent["p"] = true
+			m, _ := set.Member("b")
+			m.Started = 2
+			set.Register(replicaset.Instant(time.Minute), m)
+		}, "", "p"},
+		{"more was acknowledged than any replica has", reasonSilent, func(w *world, set *replicaset.Set) {
+			w.silent["p"] = true
+			set.Acknowledge(at(1, 12))
+		}, "", "p"},
+		{"another host holds the duty", reasonSilent, func(w *world, _ *replicaset.Set) {
+			w.silent["p"] = true
+			w.state.Duty = Duty{Holder: "host-2", Token: 4, Until: time.Hour}
+		}, "", "p"},
+		{"the record changed meanwhile", reasonSilent, func(w *world, _ *replicaset.Set) { w.conflict = true }, "", "p"},
+		{"a promotion was not recorded", reasonOrphaned, func(w *world, set *replicaset.Set) {
+			w.reports["a"] = replicaset.Status{Role: replicaset.Primary, Term: 2, Received: at(1, 9)}
+			w.state.Leads["g"] = replicaset.Lead{ID: "p", Term: 1, Switching: true, Version: 5}
+			w.version = 5
+			set.SetLead(w.state.Leads["g"])
+		}, "", "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld()
+			m, set := w.manager(t)
+			tt.change(w, set)
+			m.switchover(context.Background(), set, tt.reason)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if tt.promoted == "" && len(w.promoted) > 0 || tt.promoted != "" && (len(w.promoted) != 1 || w.promoted[0] != tt.promoted) {
+				t.Errorf("promoted %v, want %q", w.promoted, tt.promoted)
+			}
+			if lead := set.Lead(); lead.ID != tt.lead || lead.Switching {
+				t.Errorf("the group is led by %+v, want %s and no switch", lead, tt.lead)
+			}
+			for _, p := range w.pauses {
+				if p != 2 {
+					t.Errorf("replicas are paused for the terms %v, want only the next one", w.pauses)
+					break
+				}
+			}
+		})
+	}
+}
+
+// TestTokensGrow checks that each new holder gets a higher fencing token, also
+// after a holder that died with the duty.
+func TestTokensGrow(t *testing.T) {
+	w := newWorld()
+	w.silent["p"] = true
+	w.state.Duty = Duty{Holder: "host-2", Token: 7, Until: time.Second}
+	w.state.Now = time.Hour
+	m, set := w.manager(t)
+	m.switchover(context.Background(), set, reasonSilent)
+	if len(w.tokens) != 1 || w.tokens[0] != 8 {
+		t.Errorf("tokens %v were sent, want 8", w.tokens)
+	}
+	if d := w.state.Duty; d.Holder != "" || d.Token != 8 {
+		t.Errorf("the duty is left as %+v, want it free with token 8", d)
+	}
+}
+
+// TestUnheard checks what a survey takes for a dead primary.
+func TestUnheard(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(w *world)
+		dead   bool
+	}{
+		{"replicas receive nothing", func(w *world) { w.silent["p"] = true }, true},
+		{"the primary answers again", func(*world) {}, false},
+		{"nobody answers: this host is cut off", func(w *world) {
+			w.silent["p"], w.silent["a"], w.silent["b"] = true, true, true
+		}, false},
+		{"a replica goes on receiving", func(w *world) {
+			w.silent["p"] = true
+			go func() {
+				for n := 10; n < 60; n++ {
+					time.Sleep(50 * time.Millisecond)
+					w.mu.Lock()
+					w.reports["a"] = replicaset.Status{Role: replicaset.Replica, Term: 1, Received: at(1, n)}
+					w.mu.Unlock()
+				}
+			}()
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld()
+			m, set := w.manager(t)
+			tt.change(w)
+			set.Avoid(m.Engine.Boot(), "p")
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			if got := m.unheard(ctx, set, set.Lead(), reasonSilent); got != tt.dead {
+				t.Errorf("unheard gives %t, want %t", got, tt.dead)
+			}
+		})
+	}
+}
