--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -211,7 +211,7 @@
 		return 1, 2
 	}
 	share = max(maxConnections/max(hosts, 1), 1)
-	return share, min(2*share+2, maxConnections)
+	return share, min(share+1, maxConnections)
 }
 
 // Loads reports the connections held to each endpoint.
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -16,7 +17,7 @@
 	// defaultTimeout limits a statement where nothing is declared.
 	defaultTimeout = time.Second
 	// attemptFloor is the least time that one attempt of a read gets.
-	attemptFloor = 250 * time.Millisecond
+	attemptFloor = 350 * time.Millisecond
 	// attemptFactor is how many expected durations one attempt of a read gets.
 	attemptFactor = 8
 	// retryPause is the wait before the same members are tried again.
@@ -89,12 +90,14 @@
 	}
 	defer p.release(c)
 	if o, err = c.adopt(a.deadline, s.values, w.shape); err != nil || o.Code != Done {
-		s.broke(a, p)
+		if err != nil {
+			s.broke(a, p, err)
+		}
 		return o, false, err
 	}
 	o, err = s.e.exchange(a, c, w.op(c, a.after))
 	if err != nil {
-		s.broke(a, p)
+		s.broke(a, p, err)
 	}
 	if o.Code == NoStatement {
 		c.broken = true
@@ -125,10 +128,13 @@
 	}
 }
 
-// broke drops a member's idle connections, which broke with this one, or are
-// silent like it.
-func (s *CallerSession) broke(a attempt, p *pool) {
-	p.dropIdle()
+// broke drops a member's idle connections, which broke with this one or are
+// silent like it. One that is merely slow keeps them: to open others would take
+// it still more of its time.
+func (s *CallerSession) broke(a attempt, p *pool, err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || a.g.Silent(s.e.Boot(), a.member.ID) {
+		p.dropIdle()
+	}
 	a.g.Avoid(s.e.Boot(), a.member.ID)
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -109,7 +109,7 @@
 func (s *CallerSession) abandon(a attempt, p *pool, c *Conn, err error) {
 	if err != nil {
 		c.broken = true
-		s.broke(a, p)
+		s.broke(a, p, err)
 	} else if out, err := c.do(s.e.Now().Add(rollbackTimeout), Op{Kind: OpRollback}); err != nil || out[0].State != Idle {
 		c.broken = true
 	}
@@ -138,7 +138,7 @@
 		o, err = s.e.exchange(a, tx.conn, w.op(tx.conn, session.Point{}))
 	}
 	if err != nil {
-		s.broke(a, tx.pool)
+		s.broke(a, tx.pool, err)
 		s.fail()
 		s.e.event(Event{Request: w.ID, Group: tx.g.Name, Endpoint: tx.member.ID, Decision: "transaction_lost", Code: Aborted, Reason: err.Error()})
 		return Outcome{Code: Aborted, Reason: "the endpoint was lost inside the transaction"}
@@ -184,10 +184,10 @@
 	}
 	switch {
 	case err != nil && tx.wrote:
-		s.broke(a, tx.pool)
+		s.broke(a, tx.pool, err)
 		return s.inDoubt(w, tx.member, err)
 	case err != nil:
-		s.broke(a, tx.pool)
+		s.broke(a, tx.pool, err)
 		return Outcome{Code: Aborted, Reason: "the endpoint was lost at the end of a transaction that wrote nothing"}
 	case tx.wrote:
 		return s.acknowledge(tx.g, tx.lead, w, sentAt, o)
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -13,6 +13,9 @@
 	// remotePenalty is what a read in another zone is held to cost: bytes
 	// between zones are dearer than a short wait.
 	remotePenalty = 25 * time.Millisecond
+	// silentAfter is how long a busy member leaves nothing unanswered while it
+	// is merely slow.
+	silentAfter = 400 * time.Millisecond
 	// drainLimit is how long a leaving member may get work if nobody else can
 	// do it. Its report may have been on the way for a while.
 	drainLimit = 4 * time.Second
@@ -230,8 +233,16 @@
 	}
 }
 
+// Silent reports whether a member has not answered anything for a while.
+func (s *Set) Silent(now Instant, id EndpointID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	return !ok || now.Sub(m.answeredAt) >= silentAfter
+}
+
 func (m *state) answered(now Instant) {
-	m.avoidUntil, m.failingSince = 0, 0
+	m.avoidUntil, m.failingSince, m.answeredAt = 0, 0, now
 	if m.waitingSince != 0 {
 		m.waitingSince = now
 	}
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -37,6 +37,8 @@
 	latencyAt  Instant
 	inFlight   int
 	position   session.Point
+	// answeredAt is when the member last answered anything.
+	answeredAt Instant
 	// waitingSince is since when a statement waits and nothing was answered.
 	waitingSince Instant
 	// drainingSince is when the member was first known to leave.
--- a/internal/replicaset/set_test.go
+++ b/internal/replicaset/set_test.go
@@ -231,3 +231,16 @@
 		t.Error("an answered commit does not end the trouble")
 	}
 }
+
+// TestSilent answers a member that is slow, not gone: each statement that took
+// too long cost it all its idle connections, and it spent its time on new ones.
+func TestSilent(t *testing.T) {
+	s := testSet()
+	s.Answered(at(1000), "a")
+	if s.Silent(at(1000).Add(silentAfter-1), "a") {
+		t.Error("a member that has just answered counts as silent")
+	}
+	if !s.Silent(at(1000).Add(silentAfter), "a") {
+		t.Error("a member that answers nothing does not count as silent")
+	}
+}
