Hosts that don't hold an endpoint's connections give back what they opened

Ruled out: the store, which was stable again; endpoints' dead connections, which end after 3 s. TestNonHolderGivesBack covers it.

--- a/internal/engine/detour_test.go
+++ b/internal/engine/detour_test.go
@@ -52,3 +52,28 @@
 		t.Errorf("a connection is borrowed though the endpoint is reached (%v)", err)
 	}
 }
+
+// TestNonHolderGivesBack answers the start of all hosts at once before scarce
+// connections: a host that opened some before it knew who holds them gives them
+// back, or the holders never get any.
+func TestNonHolderGivesBack(t *testing.T) {
+	now := time.Now()
+	closed := 0
+	e := &Engine{Zone: "z", Now: func() time.Time { return now }, Boot: func() replicaset.Instant { return 1 }, Event: func(Event) {}}
+	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+		return &Conn{Close: func() { closed++ }}, nil
+	}
+	m := replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}
+	p := e.pool(e.group("g"), m)
+	c, err := e.acquire(p, now.Add(time.Second), classRead, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.release(c)
+	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2", ""}, 2 }
+	now = now.Add(surplusIdle + time.Millisecond)
+	e.Maintain()
+	if closed != 1 {
+		t.Errorf("%d connections were given back, want 1", closed)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -149,6 +149,7 @@
 			g.drop(id)
 		}
 		for _, p := range g.all() {
+			e.reshare(p)
 			p.trim()
 		}
 	}
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -52,10 +53,11 @@
 		return p.own(deadline, class, values)
 	}
 	lenders, holders := e.Lenders(p.member, p.maxConnections())
-	if holders == 0 {
+	if holders > 0 {
+		p.shareWith(holders, slices.Contains(lenders[:holders], ""))
+	} else {
 		return e.direct(p, deadline, class, values)
 	}
-	p.shareWith(holders)
 	for i, address := range lenders {
 		if address == "" {
 			return p.own(deadline, class, values)
@@ -72,6 +74,16 @@
 	return nil, errFull
 }
 
+// reshare takes a change of the holders up without waiting for a statement.
+func (e *Engine) reshare(p *pool) {
+	if e.Lenders == nil {
+		return
+	}
+	if lenders, holders := e.Lenders(p.member, p.maxConnections()); holders > 0 {
+		p.shareWith(holders, slices.Contains(lenders[:holders], ""))
+	}
+}
+
 func (p *pool) maxConnections() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -79,10 +91,15 @@
 }
 
 // shareWith sets the share of a host that holds an endpoint's connections
-// together with others.
-func (p *pool) shareWith(holders int) {
+// together with others. One that holds none gives back those that it opened
+// before it knew.
+func (p *pool) shareWith(holders int, mine bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !mine {
+		p.share, p.limit = 0, 1
+		return
+	}
 	p.share = max(p.endpointLimit/holders, 1)
 	p.limit = p.share
 }
