Many hosts lend each other connections also where each could have two

Cause: 131 connections before 59 hosts are two each; a transaction pins one, and what waits for the other is refused though the endpoint has some to spare.

--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+func TestScarce(t *testing.T) {
+	tests := []struct {
+		connections, hosts int
+		want               bool
+	}{
+		{0, 100, false},
+		{16, 7, false},
+		{6, 7, true},
+		{25, 79, true},
+		{131, 59, true},
+		{200, 59, false},
+	}
+	for _, tt := range tests {
+		if got := scarce(tt.connections, tt.hosts); got != tt.want {
+			t.Errorf("%d connections before %d hosts: scarce %t, want %t", tt.connections, tt.hosts, got, tt.want)
+		}
+	}
+}
+
 // lendingPair is a lender before one endpoint, and a borrower.
 type lendingPair struct {
 	b      *Borrower
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -17,6 +17,14 @@
 // holdersPerEndpoint is how many hosts share an endpoint's connections.
 const holdersPerEndpoint = 2
 
+const (
+	// manyHosts is from how many hosts on connections are lent although each
+	// host could have one; with fewer, nearly each would be a holder.
+	manyHosts = 16
+	// fewConnections is how many a host then needs to keep its own.
+	fewConnections = 3
+)
+
 // maxDetours is how many hosts are asked for a way to an endpoint.
 const maxDetours = 2
 
@@ -61,7 +69,7 @@
 func (r *Ring) Lenders(m replicaset.Member, maxConnections int) (addresses []string, holders int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if maxConnections == 0 || maxConnections >= len(r.peers) {
+	if !scarce(maxConnections, len(r.peers)) {
 		return nil, 0
 	}
 	type rank struct {
@@ -90,6 +98,15 @@
 	return addresses, holders
 }
 
+// scarce reports whether connections are lent: where not each host can have one,
+// or where many hosts would have too few for their transactions.
+func scarce(maxConnections, hosts int) bool {
+	if maxConnections == 0 {
+		return false
+	}
+	return maxConnections < hosts || hosts >= manyHosts && maxConnections < fewConnections*hosts
+}
+
 // Detours returns hosts that may reach an endpoint which this one does not: of
 // its zone first, then others.
 func (r *Ring) Detours(m replicaset.Member) (addresses []string) {
