--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -44,16 +44,6 @@
 	s.samples = s.samples[drop:]
 }
 
-// SampleAge returns the age of the newest sample.
-func (s *Set) SampleAge(now Instant) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.samples) == 0 {
-		return 0, false
-	}
-	return now.Sub(s.samples[len(s.samples)-1].sentAt), true
-}
-
 // Need returns the log position that a read must include to be at most maxAge
 // old and to hold what its session has seen. It reports false when no sample is
 // young enough: only the primary can serve the read then.
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -166,14 +166,6 @@
 	return m.Member, true
 }
 
-// Registered reports whether the member's registration stands right now.
-func (s *Set) Registered(id EndpointID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m, ok := s.members[id]
-	return ok && m.removedAt == 0
-}
-
 // Lead returns the leadership as known.
 func (s *Set) Lead() Lead {
 	s.mu.Lock()
