--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,8 +49,6 @@
 	Code     Code
 	Reason   string
 	Age      time.Duration
-	Point    session.Point
-	Took     time.Duration
 }
 
 // group is one database group with the connections to its members.
@@ -117,15 +117,19 @@
 
 // Groups returns all groups.
 func (e *Engine) Groups() []*replicaset.Set {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	all := make([]*replicaset.Set, 0, len(e.groups))
-	for _, g := range e.groups {
+	var all []*replicaset.Set
+	for _, g := range e.all() {
 		all = append(all, g.Set)
 	}
 	return all
 }
 
+func (e *Engine) all() []*group {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Values(e.groups))
+}
+
 // Policy returns what is declared for a group.
 func (e *Engine) Policy(name session.Group) GroupPolicy {
 	if d := e.declared.Load(); d != nil {
@@ -138,13 +142,7 @@
 // called a few times a second.
 func (e *Engine) Maintain() {
 	now := e.Boot()
-	e.mu.Lock()
-	all := make([]*group, 0, len(e.groups))
-	for _, g := range e.groups {
-		all = append(all, g)
-	}
-	e.mu.Unlock()
-	for _, g := range all {
+	for _, g := range e.all() {
 		for _, id := range g.Expire(now) {
 			g.drop(id)
 		}
@@ -158,11 +156,7 @@
 func (g *group) all() []*pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]*pool, 0, len(g.pools))
-	for _, p := range g.pools {
-		out = append(out, p)
-	}
-	return out
+	return slices.Collect(maps.Values(g.pools))
 }
 
 func (g *group) drop(id replicaset.EndpointID) {
@@ -217,11 +211,10 @@
 
 // Loads reports the connections held to each endpoint.
 func (e *Engine) Loads(report func(g session.Group, id replicaset.EndpointID, open, idle, waiting int)) {
-	for _, set := range e.Groups() {
-		g := e.group(set.Name)
+	for _, g := range e.all() {
 		for _, p := range g.all() {
 			open, idle, waiting := p.load()
-			report(set.Name, p.member.ID, open, idle, waiting)
+			report(g.Name, p.member.ID, open, idle, waiting)
 		}
 	}
 }
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -139,8 +139,7 @@
 }
 
 func (s *CallerSession) noConnection(a attempt, err error) {
-	var refused *DialError
-	if !errors.Is(err, errNoConnection) && !errors.Is(err, errFull) && !errors.As(err, &refused) {
+	if unreachable(err) {
 		a.g.Avoid(s.e.Boot(), a.member.ID)
 	}
 	s.e.event(Event{Group: a.g.Name, Endpoint: a.member.ID, Decision: "no_connection", Reason: err.Error()})
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -30,7 +30,6 @@
 	pool     *pool
 	conn     *Conn
 	wrote    bool
-	ran      int
 }
 
 // Open starts a session of a database.
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -122,7 +122,6 @@
 		s.fail()
 		return
 	}
-	s.tx.ran++
 	s.tx.wrote = s.tx.wrote || w.writes
 }
 
