--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -49,6 +49,8 @@
 	// Name and Value are those of a session value or a prepared statement.
 	Name, Value string
 	Shape       Shape
+	// Commits marks a request whose success acknowledges writes.
+	Commits bool
 	// Term is that of OpPause and OpDemote.
 	Term session.Term
 }
@@ -62,9 +64,13 @@
 	Do func(deadline time.Time, ops ...Op) ([]Outcome, error)
 	// Close ends the connection at once.
 	Close func()
-	// GiveBack returns a borrowed connection; nil for one of this host.
-	GiveBack func(*Conn)
+	// Far runs calls over a connection that another host holds, and GiveBack ends
+	// its loan; both are nil for a connection of this host.
+	Far      func(Call) ([]Outcome, error)
+	GiveBack func()
 
+	gate     *gate
+	state    TxState
 	values   map[string]string
 	prepared map[Shape]string
 	broken   bool
@@ -130,37 +136,3 @@
 		c.prepared[op.Shape] = op.Name
 	}
 }
-
-// do runs requests and marks the connection broken on an error.
-func (c *Conn) do(deadline time.Time, ops ...Op) ([]Outcome, error) {
-	out, err := c.Do(deadline, ops...)
-	if err != nil {
-		c.broken = true
-	}
-	return out, err
-}
-
-// adopt brings the connection to a session's state, followed by further
-// requests of the engine. It fails unless all of them succeed.
-func (c *Conn) adopt(deadline time.Time, values map[string]string, shape *Shape, more ...Op) (Outcome, error) {
-	setup := c.setup(values, shape)
-	ops := append(setup, more...)
-	if len(ops) == 0 {
-		return Outcome{}, nil
-	}
-	out, err := c.do(deadline, ops...)
-	if err != nil {
-		return Outcome{}, err
-	}
-	for i, o := range out {
-		if o.Code != Done {
-			if i < len(setup) {
-				c.broken = true
-				return o, errSetup
-			}
-			return o, nil
-		}
-		c.learned(ops[i])
-	}
-	return out[len(out)-1], nil
-}
--- a/internal/engine/conn_test.go
+++ b/internal/engine/conn_test.go
@@ -9,7 +9,7 @@
 // by another: looking for a fitting connection forgot what a connection had.
 func TestSetupAsksWithoutChanging(t *testing.T) {
 	c := &Conn{Do: func(_ time.Time, ops ...Op) ([]Outcome, error) { return make([]Outcome, len(ops)), nil }}
-	if _, err := c.adopt(time.Time{}, map[string]string{"v1": "a"}, nil); err != nil {
+	if _, err := c.Run(Call{Want: Want{Values: map[string]string{"v1": "a"}}}); err != nil {
 		t.Fatal(err)
 	}
 	other := map[string]string{"v0": "b"}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -22,7 +22,7 @@
 	if !ok {
 		deadline = e.Now().Add(proofTimeout)
 	}
-	out, err := c.do(deadline, op)
+	out, err := c.Run(Call{Until: deadline, Deadline: deadline, Class: classOpen, AnyState: true, Ops: []Op{op}})
 	if err != nil {
 		return replicaset.Status{}, fmt.Errorf("control of endpoint %s: %w", m.ID, err)
 	}
--- a/internal/engine/detour.go
+++ b/internal/engine/detour.go
@@ -18,7 +18,7 @@
 // because this one does not reach the endpoint.
 func (e *Engine) direct(p *pool, deadline time.Time, class int, values map[string]string) (*Conn, error) {
 	if p.cutOff() {
-		if c, err := e.detour(p, deadline, class, values); err == nil {
+		if c := e.detour(p); c != nil {
 			return c, nil
 		}
 	}
@@ -29,7 +29,7 @@
 	if p.cut() {
 		go e.awaitPath(p)
 	}
-	if c, err := e.detour(p, deadline, class, values); err == nil {
+	if c := e.detour(p); c != nil {
 		return c, nil
 	}
 	return nil, err
@@ -42,20 +42,17 @@
 	return !errors.As(err, &refused) && !errors.Is(err, errFull) && !errors.Is(err, errNoConnection)
 }
 
-func (e *Engine) detour(p *pool, deadline time.Time, class int, values map[string]string) (*Conn, error) {
+// detour returns a connection that goes through other hosts, nil where there is
+// none or none helped a moment ago.
+func (e *Engine) detour(p *pool) *Conn {
 	if e.Detours == nil || !p.mayDetour() {
-		return nil, errFull
+		return nil
 	}
-	err := ErrLenderAway
-	for _, address := range e.Detours(p.member) {
-		var c *Conn
-		if c, err = e.Borrow(deadline, address, p.member, class, values); err == nil {
-			return c, nil
-		}
+	addresses := e.Detours(p.member)
+	if len(addresses) == 0 {
+		return nil
 	}
-	p.noDetour()
-	e.event(Event{Group: p.member.Group, Endpoint: p.member.ID, Decision: "no_detour", Reason: err.Error()})
-	return nil, err
+	return e.borrow(p, addresses, true)
 }
 
 // awaitPath dials until the endpoint is reached again or is gone.
--- a/internal/engine/detour_test.go
+++ b/internal/engine/detour_test.go
@@ -25,17 +25,21 @@
 	}
 	e.Lenders = func(replicaset.Member, int) ([]string, int) { return nil, 0 }
 	e.Detours = func(replicaset.Member) []string { return []string{"away", "near"} }
-	e.Borrow = func(_ time.Time, address string, _ replicaset.Member, _ int, _ map[string]string) (*Conn, error) {
+	e.Borrow = func(address string, _ replicaset.Member, _ uint64, _ Call) ([]Outcome, uint64, error) {
 		if address == "away" {
-			return nil, ErrLenderAway
+			return nil, 0, NotSent(ErrLenderAway)
 		}
 		borrowed.Add(1)
-		return &Conn{GiveBack: func(*Conn) {}}, nil
+		return []Outcome{{}}, 0, nil
 	}
 	m := replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}
 	p := e.pool(e.group("g"), m)
 	for range 3 {
-		if _, err := e.acquire(p, time.Now().Add(time.Second), classRead, nil); err != nil {
+		c, err := e.acquire(p, time.Now().Add(time.Second), classRead, nil)
+		if err == nil {
+			_, err = c.Run(Call{Ops: []Op{{Text: "READ 7"}}})
+		}
+		if err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,8 @@
 // the first session.
 type Engine struct {
 	Zone string
+	// Regions tells the region of each zone; nil takes each zone for a region.
+	Regions map[string]string
 	// Now reads the clock for timeouts.
 	Now func() time.Time
 	// Boot reads a clock that also counts suspended time.
@@ -28,8 +30,11 @@
 	// Detours lists the hosts to ask for a connection to an endpoint that this
 	// host does not reach, the first choice first.
 	Detours func(m replicaset.Member) (addresses []string)
-	// Borrow gets a connection from one of them.
-	Borrow func(deadline time.Time, address string, m replicaset.Member, class int, values map[string]string) (*Conn, error)
+	// Borrow runs a call over a connection of another host. A transaction that it
+	// leaves open is named by a handle, for the calls that follow; 0 is none.
+	Borrow func(address string, m replicaset.Member, handle uint64, call Call) (out []Outcome, left uint64, err error)
+	// Return ends a transaction that a call at another host left open.
+	Return func(address string, handle uint64)
 	// Event reports a decision; it must not block.
 	Event func(Event)
 
@@ -105,6 +110,7 @@
 		return g
 	}
 	g = &group{Set: replicaset.New(name, e.Zone), pools: make(map[replicaset.EndpointID]*pool)}
+	g.Regions = e.Regions
 	if d := e.declared.Load(); d != nil {
 		g.policy = d.Groups[name]
 	}
@@ -183,7 +189,7 @@
 		ok = false
 	}
 	if !ok {
-		p = &pool{member: m, dial: e.Dial, now: e.Now}
+		p = &pool{member: m, dial: e.Dial, now: e.Now, gate: newGate(e.Now, m.Slots)}
 		p.setShare(g.policy.MaxConnections, hosts)
 		g.pools[m.ID] = p
 	}
--- /dev/null
+++ b/internal/engine/gate_test.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// TestGateTurnsAway answers the load of a group whose only fresh member cannot
+// take all of its reads: what cannot be served in time is refused at once, and
+// the endpoint is never given more than it has slots for, so that it sheds
+// nothing.
+func TestGateTurnsAway(t *testing.T) {
+	g := newGate(time.Now, 2)
+	const service = 20 * time.Millisecond
+	for range 40 {
+		if err := g.enter(time.Now().Add(time.Second), classRead); err != nil {
+			t.Fatal(err)
+		}
+		g.leave(service, false)
+	}
+	for range 2 + spareSlots {
+		if err := g.enter(time.Now().Add(time.Second), classRead); err != nil {
+			t.Fatal(err)
+		}
+	}
+	results := make(chan error, 100)
+	began := time.Now()
+	for range cap(results) {
+		go func() { results <- g.enter(time.Now().Add(5*service), classRead) }()
+	}
+	refused := 0
+	for range cap(results) / 2 {
+		if err := <-results; !errors.Is(err, errOverloaded) {
+			t.Fatalf("a place is given beyond the limit: %v", err)
+		}
+		refused++
+	}
+	if took := time.Since(began); took > 4*service {
+		t.Errorf("%d refusals took %s, want them at once", refused, took)
+	}
+}
+
+// TestGateOrder answers the load of transactions that hold scarce connections:
+// their statements go before new work, whenever they came.
+func TestGateOrder(t *testing.T) {
+	g := newGate(time.Now, 1)
+	for g.running < int(g.limit) {
+		_ = g.enter(time.Now().Add(time.Second), classRead)
+	}
+	order := make(chan int, 3)
+	for i, class := range []int{classRead, classWrite, classOpen} {
+		go func() {
+			if g.enter(time.Now().Add(5*time.Second), class) == nil {
+				order <- class
+				g.leave(time.Millisecond, false)
+			}
+		}()
+		for waiting := 0; waiting <= i; time.Sleep(time.Millisecond) {
+			g.mu.Lock()
+			waiting = len(g.waiting)
+			g.mu.Unlock()
+		}
+	}
+	g.leave(time.Millisecond, false)
+	for _, want := range []int{classOpen, classWrite, classRead} {
+		if got := <-order; got != want {
+			t.Errorf("class %d is next, want %d", got, want)
+		}
+	}
+}
+
+// TestGateYields answers an endpoint that sheds load because other hosts press
+// on it as well: this host takes less of it, and more again when it serves.
+func TestGateYields(t *testing.T) {
+	now := time.Now()
+	g := newGate(func() time.Time { return now }, 3)
+	for range 50 {
+		now = now.Add(gateCutEvery)
+		if err := g.enter(now.Add(time.Second), classRead); err != nil {
+			t.Fatal(err)
+		}
+		g.leave(time.Millisecond, true)
+	}
+	if g.limit != 1 {
+		t.Errorf("the limit is %f after refusals, want 1", g.limit)
+	}
+	for range 100 {
+		_ = g.enter(now.Add(time.Second), classRead)
+		g.leave(time.Millisecond, false)
+	}
+	if g.limit != g.most {
+		t.Errorf("the limit is %f after answers, want %f", g.limit, g.most)
+	}
+}
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
@@ -10,68 +9,154 @@
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
-// maxLenders bounds how many hosts are asked for a connection.
+// maxLenders bounds how many hosts are asked to run a call.
 const maxLenders = 3
 
-// ErrLenderAway says that another host could not be asked for a connection.
+// ErrLenderAway says that another host could not be asked.
 var ErrLenderAway = errors.New("lending host is away")
 
 // ErrFull says that no connection to an endpoint is to be had.
 var ErrFull = errFull
 
-// Lend takes a connection for another host, and returns how to give it back.
-func (e *Engine) Lend(name session.Group, id replicaset.EndpointID, deadline time.Time, class int, values map[string]string) (*Conn, func(*Conn), error) {
+// ErrOverloaded says that more waits for an endpoint than it serves in time.
+var ErrOverloaded = errOverloaded
+
+// Loan is a connection that this host lends to another one: for one call, or
+// until the transaction ends that the call opened.
+type Loan struct {
+	e    *Engine
+	g    *group
+	m    replicaset.Member
+	pool *pool
+	conn *Conn
+}
+
+// Lend takes a connection to an endpoint for another host.
+func (e *Engine) Lend(name session.Group, id replicaset.EndpointID, call Call) (*Loan, error) {
 	g := e.group(name)
 	m, ok := g.Member(id)
 	if !ok {
-		return nil, nil, &DialError{Code: WrongEndpoint}
+		return nil, &DialError{Code: WrongEndpoint}
 	}
 	p := e.pool(g, m)
-	c, err := p.own(deadline, class, values)
-	return c, p.release, err
+	c, err := p.own(call.Until, call.Class, call.Want.Values)
+	if err != nil {
+		return nil, err
+	}
+	return &Loan{e: e, g: g, m: m, pool: p, conn: c}, nil
+}
+
+// Run runs a call of the borrower.
+func (l *Loan) Run(call Call) ([]Outcome, error) {
+	out, err := l.e.perform(l.g, l.m, l.conn, call)
+	if err != nil {
+		l.e.failed(l.g, l.pool, err)
+	}
+	return out, err
+}
+
+// Over reports whether the borrower needs the connection no more: no transaction
+// is open on it.
+func (l *Loan) Over() bool { return l.conn.broken || l.conn.state == Idle }
+
+// Break ends the loan of a borrower that is gone, with its transaction.
+func (l *Loan) Break() {
+	l.conn.broken = true
+	l.End()
 }
 
-// Break marks a connection as one that must not be used again.
-func (c *Conn) Break() { c.broken = true }
+// End gives the connection back.
+func (l *Loan) End() { l.pool.release(l.conn) }
 
-// Broken reports whether the connection must not be used again.
-func (c *Conn) Broken() bool { return c.broken }
+// borrowed is a connection that another host holds. Nothing is asked of that
+// host before the first call; a call that leaves no transaction open also gives
+// the connection back.
+type borrowed struct {
+	e    *Engine
+	pool *pool
+	// addresses are the hosts to ask, in this order; an empty one is this host.
+	addresses []string
+	// detour tells that the hosts are asked because this one does not reach the
+	// endpoint: any of them that cannot help is passed over.
+	detour bool
 
-// SessionState returns what the connection carries of a session.
-func (c *Conn) SessionState() (values map[string]string, prepared map[Shape]string) {
-	return maps.Clone(c.values), maps.Clone(c.prepared)
+	address string
+	handle  uint64
+	own     *Conn
 }
 
-// SetSessionState notes what the connection carries of a session.
-func (c *Conn) SetSessionState(values map[string]string, prepared map[Shape]string) {
-	c.values, c.prepared = values, prepared
+func (e *Engine) borrow(p *pool, addresses []string, detour bool) *Conn {
+	b := &borrowed{e: e, pool: p, addresses: addresses, detour: detour}
+	return &Conn{Endpoint: p.member.ID, Far: b.run, GiveBack: b.giveBack}
 }
 
-// acquire returns a connection of this host or a borrowed one.
-func (e *Engine) acquire(p *pool, deadline time.Time, class int, values map[string]string) (*Conn, error) {
-	if e.Lenders == nil {
-		return p.own(deadline, class, values)
+// run asks the hosts until one has taken the call.
+func (b *borrowed) run(call Call) ([]Outcome, error) {
+	if b.own != nil {
+		return b.own.Run(call)
 	}
-	lenders, holders := e.Lenders(p.member, p.maxConnections())
-	if holders > 0 {
-		p.shareWith(holders, slices.Contains(lenders[:holders], ""))
-	} else {
-		return e.direct(p, deadline, class, values)
+	if b.handle != 0 {
+		return b.ask(b.address, call)
 	}
-	for i, address := range lenders {
+	err := NotSent(ErrLenderAway)
+	for i, address := range b.addresses {
 		if address == "" {
-			return p.own(deadline, class, values)
+			return b.runOwn(call)
 		}
 		if i == maxLenders {
 			break
 		}
-		c, err := e.Borrow(deadline, address, p.member, class, values)
-		if !errors.Is(err, ErrLenderAway) {
-			return c, err
+		var out []Outcome
+		out, err = b.ask(address, call)
+		if Sent(err) || err == nil || !b.detour && !errors.Is(err, ErrLenderAway) {
+			return out, err
 		}
-		e.event(Event{Group: p.member.Group, Endpoint: p.member.ID, Decision: "lender_away", Reason: err.Error()})
+		b.e.event(Event{Group: b.pool.member.Group, Endpoint: b.pool.member.ID, Decision: "lender_away", Reason: err.Error()})
+	}
+	if b.detour {
+		b.pool.noDetour()
+	}
+	return nil, err
+}
+
+func (b *borrowed) runOwn(call Call) ([]Outcome, error) {
+	c, err := b.pool.own(call.Until, call.Class, call.Want.Values)
+	if err != nil {
+		return nil, NotSent(err)
+	}
+	b.own = c
+	return c.Run(call)
+}
+
+func (b *borrowed) ask(address string, call Call) ([]Outcome, error) {
+	out, handle, err := b.e.Borrow(address, b.pool.member, b.handle, call)
+	b.address, b.handle = address, handle
+	return out, err
+}
+
+func (b *borrowed) giveBack() {
+	if b.own != nil {
+		b.pool.release(b.own)
+	}
+	if b.handle != 0 {
+		b.e.Return(b.address, b.handle)
+	}
+}
+
+// acquire returns a connection of this host or a borrowed one.
+func (e *Engine) acquire(p *pool, until time.Time, class int, values map[string]string) (*Conn, error) {
+	if e.Lenders == nil {
+		return p.own(until, class, values)
+	}
+	lenders, holders := e.Lenders(p.member, p.maxConnections())
+	if holders == 0 {
+		return e.direct(p, until, class, values)
+	}
+	p.shareWith(holders, slices.Contains(lenders[:holders], ""))
+	if lenders[0] == "" {
+		return p.own(until, class, values)
 	}
-	return nil, errFull
+	return e.borrow(p, lenders, false), nil
 }
 
 // reshare takes a change of the holders up without waiting for a statement.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -47,6 +47,7 @@
 	member replicaset.Member
 	dial   func(ctx context.Context, m replicaset.Member) (*Conn, error)
 	now    func() time.Time
+	gate   *gate
 
 	mu    sync.Mutex
 	idle  []*Conn
@@ -172,6 +173,7 @@
 	defer cancel()
 	c, err := p.dial(ctx, p.member)
 	if err == nil {
+		c.gate = p.gate
 		return c, nil
 	}
 	p.mu.Lock()
@@ -214,7 +216,7 @@
 // release hands a connection on.
 func (p *pool) release(c *Conn) {
 	if c.GiveBack != nil {
-		c.GiveBack(c)
+		c.GiveBack()
 		return
 	}
 	p.mu.Lock()
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -20,15 +20,20 @@
 	attemptFloor = 350 * time.Millisecond
 	// attemptFactor is how many expected durations one attempt of a read gets.
 	attemptFactor = 8
-	// retryPause is the wait before the same members are tried again.
-	retryPause = 15 * time.Millisecond
+	// retryPause is the wait before the same members are tried again, doubled up
+	// to longestPause: what is refused again and again must not take the time of
+	// those that serve.
+	retryPause   = 15 * time.Millisecond
+	longestPause = 120 * time.Millisecond
 	// minAttempt is the least time in which an attempt is worth its start.
 	minAttempt = 10 * time.Millisecond
 )
 
-// The classes of those that wait for a connection, the first first.
+// The classes of those that wait, the first first: statements of transactions
+// that hold a connection, writes, reads.
 const (
-	classWrite = iota
+	classOpen = iota
+	classWrite
 	classRead
 )
 
@@ -39,15 +44,17 @@
 	shape  *Shape
 }
 
-// op returns the request for an endpoint; a prepared statement goes by the
-// connection's own name for its shape.
-func (w work) op(c *Conn, after session.Point) Op {
+// op returns the request for an endpoint.
+func (w work) op(after session.Point) Op {
 	if w.shape != nil {
-		return Op{Kind: OpExecute, ID: w.ID, Name: c.prepared[*w.shape], Text: w.Args, After: after}
+		return Op{Kind: OpExecute, ID: w.ID, Shape: *w.shape, Text: w.Args, After: after}
 	}
 	return Op{Kind: OpStatement, ID: w.ID, Text: w.Text, After: after}
 }
 
+// want is the session state that a statement runs under.
+func (s *CallerSession) want(w work) Want { return Want{Values: s.values, Shape: w.shape} }
+
 func (s *CallerSession) deadline(r Database) time.Time {
 	limit := r.StatementTimeout
 	if limit <= 0 {
@@ -79,46 +86,29 @@
 	until, deadline time.Time
 }
 
+// call returns requests of the attempt under the session's state.
+func (a attempt) call(want Want, ops ...Op) Call {
+	return Call{Until: a.until, Deadline: a.deadline, Class: a.class, Want: want, Ops: ops}
+}
+
 // at runs a statement on some connection of a member. sent tells whether the
 // endpoint may have got it.
 func (s *CallerSession) at(a attempt, w work) (o Outcome, sent bool, err error) {
 	p := s.e.pool(a.g, a.member)
 	c, err := s.e.acquire(p, a.until, a.class, s.values)
 	if err != nil {
-		s.noConnection(a, err)
+		s.e.failed(a.g, p, err)
 		return refusal(err), false, err
 	}
 	defer p.release(c)
-	if o, err = c.adopt(a.deadline, s.values, w.shape); err != nil || o.Code != Done {
-		if err != nil {
-			s.broke(a, p, err)
-		}
-		return o, false, err
-	}
-	o, err = s.e.exchange(a, c, w.op(c, a.after))
+	op := w.op(a.after)
+	op.Commits = w.writes
+	out, err := s.e.perform(a.g, a.member, c, a.call(s.want(w), op))
 	if err != nil {
-		s.broke(a, p, err)
-	}
-	if o.Code == NoStatement {
-		c.broken = true
+		s.e.failed(a.g, p, err)
+		return refusal(err), Sent(err), err
 	}
-	return o, true, err
-}
-
-// exchange sends one statement and notes what its answer tells.
-func (e *Engine) exchange(a attempt, c *Conn, op Op) (Outcome, error) {
-	sentAt := e.Boot()
-	a.g.Began(sentAt, a.member.ID)
-	out, err := c.do(a.deadline, op)
-	now := e.Boot()
-	if err != nil {
-		a.g.Ended(now, a.member.ID, now.Sub(sentAt), false, session.Point{})
-		return Outcome{}, err
-	}
-	o := out[0]
-	a.g.Ended(now, a.member.ID, now.Sub(sentAt), true, o.Point)
-	e.sample(a.g, a.member, sentAt, o.Point)
-	return o, nil
+	return out[0], true, nil
 }
 
 // sample keeps a position of the primary if it was known to lead then.
@@ -128,21 +118,19 @@
 	}
 }
 
-// broke drops a member's idle connections, which broke with this one or are
-// silent like it. One that is merely slow keeps them: to open others would take
-// it still more of its time.
-func (s *CallerSession) broke(a attempt, p *pool, err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || a.g.Silent(s.e.Boot(), a.member.ID) {
+// failed notes a call that was not answered. A connection that broke takes the
+// member's idle ones with it, which broke too or are silent like it. A member
+// that is merely slow keeps them: to open others would take it still more time.
+func (e *Engine) failed(g *group, p *pool, err error) {
+	id := p.member.ID
+	switch {
+	case notTried(err):
+		e.event(Event{Group: g.Name, Endpoint: id, Decision: "no_connection", Reason: err.Error()})
+		return
+	case !errors.Is(err, os.ErrDeadlineExceeded) || g.Silent(e.Boot(), id):
 		p.dropIdle()
 	}
-	a.g.Avoid(s.e.Boot(), a.member.ID)
-}
-
-func (s *CallerSession) noConnection(a attempt, err error) {
-	if unreachable(err) {
-		a.g.Avoid(s.e.Boot(), a.member.ID)
-	}
-	s.e.event(Event{Group: a.g.Name, Endpoint: a.member.ID, Decision: "no_connection", Reason: err.Error()})
+	g.Avoid(e.Boot(), id)
 }
 
 func refusal(err error) Outcome {
@@ -303,11 +291,9 @@
 		sentAt := s.e.Boot()
 		o, sent, err := s.at(attempt{g: g, member: m, class: classWrite, until: deadline, deadline: deadline}, w)
 		if err == nil && !o.Code.notRun() {
-			g.Committed(s.e.Boot(), true)
 			return s.acknowledge(g, lead, w, sentAt, o)
 		}
 		if err != nil && sent {
-			g.Committed(s.e.Boot(), false)
 			return s.inDoubt(w, m, err)
 		}
 		if err == nil {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -179,14 +180,15 @@
 
 // setInside changes a value on the connection of the open transaction.
 func (s *CallerSession) setInside(st Statement) bool {
-	op := Op{Kind: OpSet, Name: st.Name, Value: st.Value}
-	out, err := s.tx.conn.do(s.e.Now().Add(s.tx.route.StatementTimeout), op)
-	if err != nil || out[0].Code != Done {
+	values := make(map[string]string, len(s.values)+1)
+	maps.Copy(values, s.values)
+	values[st.Name] = st.Value
+	deadline := s.deadline(s.tx.route)
+	_, err := s.tx.conn.Run(Call{Until: deadline, Deadline: deadline, Class: classOpen, Want: Want{Values: values}})
+	if err != nil {
 		s.tx.conn.broken = true
-		return false
 	}
-	s.tx.conn.learned(op)
-	return true
+	return err == nil
 }
 
 func (s *CallerSession) prepare(st Statement) Outcome {
@@ -218,10 +220,7 @@
 		return
 	}
 	go func() {
-		out, err := tx.conn.do(s.e.Now().Add(rollbackTimeout), Op{Kind: OpRollback})
-		if err == nil && out[0].State != Idle {
-			tx.conn.broken = true
-		}
+		s.rollBack(tx.conn)
 		tx.pool.release(tx.conn)
 	}()
 }
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -81,41 +81,54 @@
 	return Op{Kind: OpBegin, After: after}
 }
 
-// start begins the transaction and runs its first statement. It reports
-// whether the transaction stands, or failed in a way that is final.
+// start begins the transaction, and runs its first statement if there is one.
+// It reports whether the transaction stands, or failed in a way that is final.
 func (s *CallerSession) start(a attempt, lead replicaset.Lead, w work) (Outcome, bool, error) {
 	p := s.e.pool(a.g, a.member)
 	c, err := s.e.acquire(p, a.until, a.class, s.values)
 	if err != nil {
-		s.noConnection(a, err)
+		s.e.failed(a.g, p, err)
 		return refusal(err), false, err
 	}
-	o, err := c.adopt(a.deadline, s.values, w.shape, s.tx.begin(a.after))
-	if err != nil || o.Code != Done {
-		s.abandon(a, p, c, err)
-		return o, false, err
+	ops := []Op{s.tx.begin(a.after)}
+	if w.Kind != Commit {
+		ops = append(ops, w.op(session.Point{}))
 	}
-	o, err = s.e.exchange(a, c, w.op(c, session.Point{}))
-	if err != nil || o.Code.notRun() || o.Code == Failed {
-		s.abandon(a, p, c, err)
-		return o, false, err
+	out, err := s.e.perform(a.g, a.member, c, a.call(s.want(w), ops...))
+	if err != nil {
+		s.e.failed(a.g, p, err)
+		p.release(c)
+		return refusal(err), false, err
+	}
+	o := out[len(out)-1]
+	if len(out) < len(ops) || o.Code.notRun() || o.Code == Failed {
+		s.abandon(p, c, o)
+		return o, false, nil
 	}
 	s.tx.g, s.tx.lead, s.tx.member, s.tx.pool, s.tx.conn = a.g, lead, a.member, p, c
-	s.noteStatement(w, o)
+	if w.Kind != Commit {
+		s.noteStatement(w, o)
+	}
 	return o, true, nil
 }
 
 // abandon gives a connection back on which the transaction did not start.
-func (s *CallerSession) abandon(a attempt, p *pool, c *Conn, err error) {
-	if err != nil {
-		c.broken = true
-		s.broke(a, p, err)
-	} else if out, err := c.do(s.e.Now().Add(rollbackTimeout), Op{Kind: OpRollback}); err != nil || out[0].State != Idle {
-		c.broken = true
+func (s *CallerSession) abandon(p *pool, c *Conn, o Outcome) {
+	if o.State != Idle {
+		s.rollBack(c)
 	}
 	p.release(c)
 }
 
+// rollBack ends the transaction on a connection.
+func (s *CallerSession) rollBack(c *Conn) {
+	deadline := s.e.Now().Add(rollbackTimeout)
+	out, err := c.Run(Call{Until: deadline, Deadline: deadline, AnyState: true, Ops: []Op{{Kind: OpRollback}}})
+	if err != nil || out[0].State != Idle {
+		c.broken = true
+	}
+}
+
 // noteStatement records an answer inside the transaction.
 func (s *CallerSession) noteStatement(w work, o Outcome) {
 	if o.Code != Done || o.State != InTransaction {
@@ -127,17 +140,9 @@
 
 func (s *CallerSession) nextStatement(w work, deadline time.Time) Outcome {
 	tx := s.tx
-	a := attempt{g: tx.g, member: tx.member, deadline: deadline}
-	o, err := tx.conn.adopt(deadline, s.values, w.shape)
-	if err == nil && o.Code == Done {
-		o, err = s.e.exchange(a, tx.conn, w.op(tx.conn, session.Point{}))
-	}
-	for err == nil && o.Code == Busy && o.State == InTransaction && s.e.Now().Add(retryPause+minAttempt).Before(deadline) {
-		time.Sleep(retryPause)
-		o, err = s.e.exchange(a, tx.conn, w.op(tx.conn, session.Point{}))
-	}
+	o, err := s.insist(deadline, s.want(w), w.op(session.Point{}))
 	if err != nil {
-		s.broke(a, tx.pool, err)
+		s.e.failed(tx.g, tx.pool, err)
 		s.fail()
 		s.e.event(Event{Request: w.ID, Group: tx.g.Name, Endpoint: tx.member.ID, Decision: "transaction_lost", Code: Aborted, Reason: err.Error()})
 		return Outcome{Code: Aborted, Reason: "the endpoint was lost inside the transaction"}
@@ -149,13 +154,32 @@
 	return o
 }
 
+// insist runs a request of the open transaction, again while the endpoint is too
+// busy for it.
+func (s *CallerSession) insist(deadline time.Time, want Want, op Op) (Outcome, error) {
+	tx := s.tx
+	a := attempt{g: tx.g, member: tx.member, class: classOpen, until: deadline, deadline: deadline}
+	for pause := retryPause; ; pause = min(2*pause, longestPause) {
+		out, err := s.e.perform(tx.g, tx.member, tx.conn, a.call(want, op))
+		if err != nil {
+			return Outcome{}, err
+		}
+		o := out[0]
+		if o.Code != Busy || o.State != InTransaction || !s.e.Now().Add(pause+minAttempt).Before(deadline) {
+			return o, nil
+		}
+		time.Sleep(pause)
+	}
+}
+
 // commit ends the transaction and keeps it.
 func (s *CallerSession) commit(st Statement) Outcome {
 	w := work{Statement: st}
 	deadline := s.deadline(s.tx.route)
 	if s.tx.conn == nil {
-		if o, ok := s.startEmpty(w, deadline); !ok {
-			s.state, s.tx = Idle, nil
+		// Only an endpoint can end a transaction, also one without statements.
+		if o := s.firstStatement(w, deadline); s.tx == nil {
+			s.state = Idle
 			return o
 		}
 	}
@@ -165,63 +189,26 @@
 		s.state = Idle
 		return Outcome{Code: Aborted, Reason: "the primary is being replaced"}
 	}
-	s.tx, s.state = nil, Idle
-	a := attempt{g: tx.g, member: tx.member, deadline: deadline}
-	op := Op{Kind: OpStatement, ID: st.ID, Text: st.Text}
+	op := Op{Kind: OpStatement, ID: st.ID, Text: st.Text, Commits: tx.wrote}
 	sentAt := s.e.Boot()
-	o, err := s.e.exchange(a, tx.conn, op)
-	for err == nil && o.Code == Busy && o.State == InTransaction && s.e.Now().Add(retryPause+minAttempt).Before(deadline) {
-		time.Sleep(retryPause)
-		o, err = s.e.exchange(a, tx.conn, op)
-	}
+	o, err := s.insist(deadline, s.want(w), op)
+	s.tx, s.state = nil, Idle
 	if err == nil && o.State != Idle {
 		tx.conn.broken = true
 	}
 	tx.pool.release(tx.conn)
-	if tx.wrote {
-		tx.g.Committed(s.e.Boot(), err == nil)
-	}
 	switch {
-	case err != nil && tx.wrote:
-		s.broke(a, tx.pool, err)
+	case err != nil && tx.wrote && Sent(err):
+		s.e.failed(tx.g, tx.pool, err)
 		return s.inDoubt(w, tx.member, err)
+	case err != nil && tx.wrote:
+		s.e.failed(tx.g, tx.pool, err)
+		return Outcome{Code: Aborted, Reason: "the end of the transaction could not be sent"}
 	case err != nil:
-		s.broke(a, tx.pool, err)
+		s.e.failed(tx.g, tx.pool, err)
 		return Outcome{Code: Aborted, Reason: "the endpoint was lost at the end of a transaction that wrote nothing"}
 	case tx.wrote:
 		return s.acknowledge(tx.g, tx.lead, w, sentAt, o)
 	}
 	return o
 }
-
-// startEmpty starts a transaction that ends without a statement: only an
-// endpoint can end it.
-func (s *CallerSession) startEmpty(w work, deadline time.Time) (Outcome, bool) {
-	g := s.e.group(s.tx.route.Group)
-	tried := make(map[replicaset.EndpointID]bool)
-	last := Outcome{Code: Busy, Reason: "no endpoint can serve the transaction"}
-	for s.e.Now().Add(minAttempt).Before(deadline) {
-		a, lead, ok := s.place(g, tried, s.e.Boot(), deadline)
-		if !ok {
-			clear(tried)
-			s.pause(g, deadline)
-			continue
-		}
-		tried[a.member.ID] = true
-		p := s.e.pool(g, a.member)
-		c, err := s.e.acquire(p, a.until, a.class, s.values)
-		if err != nil {
-			s.noConnection(a, err)
-			continue
-		}
-		o, err := c.adopt(a.deadline, s.values, nil, s.tx.begin(a.after))
-		if err != nil || o.Code != Done {
-			s.abandon(a, p, c, err)
-			last = o
-			continue
-		}
-		s.tx.g, s.tx.lead, s.tx.member, s.tx.pool, s.tx.conn = g, lead, a.member, p, c
-		return Outcome{}, true
-	}
-	return s.giveUp(w, last), false
-}
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -22,7 +22,7 @@
 	// pingEvery is how often a link with calls under way is probed, and
 	// pingTimeout how long the answer may take.
 	pingEvery   = 400 * time.Millisecond
-	pingTimeout = 500 * time.Millisecond
+	pingTimeout = 800 * time.Millisecond
 	// answerMargin is what a call may take beyond what the lender was given.
 	answerMargin = 150 * time.Millisecond
 	// linkIdle closes links that nobody used.
@@ -31,6 +31,7 @@
 
 var (
 	errLinkBroken = errors.New("link to the lending host broke")
+	errNoAnswer   = errors.New("lending host did not answer in time")
 	errAway       = errors.New("the lending host is away")
 )
 
@@ -60,34 +61,51 @@
 	used    time.Time
 }
 
-// Borrow gets a connection to an endpoint from a lender. The error of a lender
-// that is away wraps engine.ErrLenderAway.
-func (b *Borrower) Borrow(deadline time.Time, address string, m replicaset.Member, class int, values map[string]string) (*engine.Conn, error) {
+// Run runs a call at an endpoint over a lender's connection. A handle names the
+// transaction that it belongs to, and that it left open; 0 is none. The error of
+// a lender that is away wraps engine.ErrLenderAway.
+func (b *Borrower) Run(address string, m replicaset.Member, handle uint64, c engine.Call) ([]engine.Outcome, uint64, error) {
 	l, err := b.link(address)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", engine.ErrLenderAway, err)
+		return nil, 0, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, err))
 	}
-	a, err := l.call(deadline, request{Verb: verbAcquire, Group: m.Group, Endpoint: m.ID, Class: class, Values: values})
+	a, err := l.call(c.Deadline, wireRequest(m.Group, m.ID, handle, c))
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", engine.ErrLenderAway, err)
+		return nil, 0, err
 	}
+	out := engineOutcomes(a.Outcomes)
 	switch a.Failure {
 	case failNone:
+		return out, a.Handle, nil
 	case failRefused:
-		return nil, &engine.DialError{Code: a.Code}
+		err = &engine.DialError{Code: a.Code}
 	case failAway:
 		b.Down(address)
-		return nil, fmt.Errorf("%w: %w", engine.ErrLenderAway, errAway)
+		err = fmt.Errorf("%w: %w", engine.ErrLenderAway, errAway)
+	case failFull:
+		err = engine.ErrFull
+	case failOverloaded:
+		err = engine.ErrOverloaded
+	case failNotSent:
+		err = errLinkBroken
 	default:
-		return nil, engine.ErrFull
+		return out, 0, errLinkBroken
+	}
+	return out, a.Handle, engine.NotSent(err)
+}
+
+// Return ends a transaction that a call left open.
+func (b *Borrower) Return(address string, handle uint64) {
+	b.mu.Lock()
+	l, ok := b.links[address]
+	b.mu.Unlock()
+	if !ok {
+		return
 	}
-	c := &engine.Conn{Endpoint: m.ID, Close: func() {}}
-	c.SetSessionState(a.Values, enginePrepared(a.Prepared))
-	c.Do = func(deadline time.Time, ops ...engine.Op) ([]engine.Outcome, error) {
-		return l.do(deadline, a.Handle, ops)
+	<-l.ready
+	if l.err == nil {
+		l.giveBack(handle)
 	}
-	c.GiveBack = func(c *engine.Conn) { l.release(a.Handle, c) }
-	return c, nil
 }
 
 func (b *Borrower) link(address string) (*link, error) {
@@ -154,8 +172,11 @@
 		ch := l.pending[a.Seq]
 		delete(l.pending, a.Seq)
 		l.mu.Unlock()
-		if ch != nil {
+		switch {
+		case ch != nil:
 			ch <- a
+		case a.Handle != 0:
+			go l.giveBack(a.Handle)
 		}
 	}
 }
@@ -203,22 +224,21 @@
 }
 
 func (l *link) call(deadline time.Time, q request) (response, error) {
-	wait := time.Until(deadline)
-	q.WaitMS = max(millis(wait), 1)
 	ch := make(chan response, 1)
 	l.mu.Lock()
 	if l.pending == nil {
 		l.mu.Unlock()
-		return response{}, errLinkBroken
+		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, errLinkBroken))
 	}
 	l.last++
 	q.Seq, l.used = l.last, time.Now()
 	l.pending[q.Seq] = ch
 	l.mu.Unlock()
 	if err := l.send(q); err != nil {
-		return response{}, err
+		// Nobody acts on a message that did not go out whole.
+		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, err))
 	}
-	t := time.NewTimer(wait + answerMargin)
+	t := time.NewTimer(time.Until(deadline) + answerMargin)
 	defer t.Stop()
 	select {
 	case a, ok := <-ch:
@@ -227,8 +247,32 @@
 		}
 		return a, nil
 	case <-t.C:
+		l.forget(q, ch)
+		return response{}, errNoAnswer
+	}
+}
+
+// forget gives up on a call. What it holds at the lender is given back, here or
+// when a late answer tells of it.
+func (l *link) forget(q request, ch <-chan response) {
+	l.mu.Lock()
+	delete(l.pending, q.Seq)
+	l.mu.Unlock()
+	handle := q.Handle
+	select {
+	case a := <-ch:
+		handle = max(handle, a.Handle)
+	default:
+	}
+	if handle != 0 {
+		l.giveBack(handle)
+	}
+}
+
+// giveBack ends a transaction at the lender. A link that breaks ends all of them.
+func (l *link) giveBack(handle uint64) {
+	if err := l.send(request{Verb: verbReturn, Handle: handle}); err != nil {
 		l.cancel()
-		return response{}, errLinkBroken
 	}
 }
 
@@ -243,23 +287,3 @@
 	}
 	return nil
 }
-
-func (l *link) do(deadline time.Time, handle uint64, ops []engine.Op) ([]engine.Outcome, error) {
-	a, err := l.call(deadline, request{Verb: verbDo, Handle: handle, Ops: wireOps(ops)})
-	if err != nil {
-		return nil, err
-	}
-	out := engineOutcomes(a.Outcomes)
-	if a.Failure != failNone {
-		return out, errLinkBroken
-	}
-	return out, nil
-}
-
-func (l *link) release(handle uint64, c *engine.Conn) {
-	values, prepared := c.SessionState()
-	err := l.send(request{Verb: verbRelease, Handle: handle, Broken: c.Broken(), Values: values, Prepared: wirePrepared(prepared)})
-	if err != nil {
-		l.cancel()
-	}
-}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -24,11 +24,10 @@
 	Away func() bool
 }
 
-// loan is one connection that was lent.
+// loan is a connection with an open transaction of a borrower.
 type loan struct {
-	conn *engine.Conn
-	give func(*engine.Conn)
-	mu   sync.Mutex
+	mu sync.Mutex
+	*engine.Loan
 }
 
 // debtor is one link of a borrower.
@@ -64,9 +63,8 @@
 		if cbor.Unmarshal(body, &q) != nil {
 			return
 		}
-		if q.Verb == verbRelease {
-			// In order, so that what is asked next finds the connection free.
-			d.release(q)
+		if q.Verb == verbReturn {
+			go d.giveBack(q.Handle)
 			continue
 		}
 		go d.serve(q)
@@ -78,25 +76,31 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closed = true
-	for _, ln := range d.loans {
-		go func() {
-			ln.mu.Lock()
-			defer ln.mu.Unlock()
-			ln.conn.Break()
-			ln.give(ln.conn)
-		}()
+	for handle := range d.loans {
+		go d.giveBack(handle)
 	}
-	d.loans = nil
 }
 
-func (d *debtor) serve(q request) {
-	var a response
-	switch q.Verb {
-	case verbAcquire:
-		a = d.acquire(q)
-	case verbDo:
-		a = d.do(q)
+// giveBack ends a loan whose transaction the borrower did not end.
+func (d *debtor) giveBack(handle uint64) {
+	if ln := d.take(handle); ln != nil {
+		ln.mu.Lock()
+		defer ln.mu.Unlock()
+		ln.Break()
 	}
+}
+
+// take removes a loan from those of the link.
+func (d *debtor) take(handle uint64) *loan {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ln := d.loans[handle]
+	delete(d.loans, handle)
+	return ln
+}
+
+func (d *debtor) serve(q request) {
+	a := d.run(q)
 	a.Seq = q.Seq
 	body, err := encode(a)
 	if err == nil {
@@ -107,66 +111,82 @@
 	}
 }
 
-func (d *debtor) acquire(q request) response {
-	if d.lender.Away() {
-		return response{Failure: failAway}
+// run serves a call. A connection is lent for as long as a transaction is open
+// on it.
+func (d *debtor) run(q request) response {
+	call := q.call()
+	ln, err := d.loan(q, call)
+	if err != nil {
+		return refusal(err)
 	}
-	deadline := time.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
-	c, give, err := d.lender.Engine.Lend(q.Group, q.Endpoint, deadline, q.Class, q.Values)
-	var refused *engine.DialError
-	switch {
-	case errors.As(err, &refused):
-		return response{Failure: failRefused, Code: refused.Code}
-	case err != nil:
-		return response{Failure: failFull}
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	out, err := ln.Run(call)
+	a := response{Outcomes: wireOutcomes(out)}
+	if err != nil {
+		a = refusal(err)
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.closed {
-		give(c)
-		return response{Failure: failAway}
+	if ln.Over() {
+		if q.Handle == 0 || d.take(q.Handle) != nil {
+			ln.End()
+		}
+		return a
 	}
-	d.last++
-	d.loans[d.last] = &loan{conn: c, give: give}
-	values, prepared := c.SessionState()
-	return response{Handle: d.last, Values: values, Prepared: wirePrepared(prepared)}
+	a.Handle = d.keep(q.Handle, ln)
+	return a
 }
 
-func (d *debtor) find(handle uint64) *loan {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.loans[handle]
-}
-
-func (d *debtor) do(q request) response {
-	ln := d.find(q.Handle)
-	if ln == nil {
-		return response{Failure: failBroken}
+// loan returns the loan of a handle, or a new one.
+func (d *debtor) loan(q request, call engine.Call) (*loan, error) {
+	if q.Handle != 0 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if ln, ok := d.loans[q.Handle]; ok {
+			return ln, nil
+		}
+		return nil, engine.NotSent(errLinkBroken)
 	}
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	deadline := time.Now().Add(time.Duration(q.WaitMS) * time.Millisecond)
-	out, err := ln.conn.Do(deadline, engineOps(q.Ops)...)
+	if d.lender.Away() {
+		return nil, engine.ErrLenderAway
+	}
+	ln, err := d.lender.Engine.Lend(q.Group, q.Endpoint, call)
 	if err != nil {
-		ln.conn.Break()
-		return response{Failure: failBroken, Outcomes: wireOutcomes(out)}
+		return nil, fmt.Errorf("lend: %w", engine.NotSent(err))
 	}
-	return response{Outcomes: wireOutcomes(out)}
+	return &loan{Loan: ln}, nil
 }
 
-func (d *debtor) release(q request) {
+// keep notes a loan whose transaction goes on. The link may have broken
+// meanwhile.
+func (d *debtor) keep(handle uint64, ln *loan) uint64 {
 	d.mu.Lock()
-	ln := d.loans[q.Handle]
-	delete(d.loans, q.Handle)
-	d.mu.Unlock()
-	if ln == nil {
-		return
+	defer d.mu.Unlock()
+	if d.closed && handle == 0 {
+		go ln.Break()
+		return 0
 	}
-	ln.mu.Lock()
-	defer ln.mu.Unlock()
-	if q.Broken {
-		ln.conn.Break()
+	if handle == 0 {
+		d.last++
+		handle = d.last
+		d.loans[handle] = ln
+	}
+	return handle
+}
+
+// refusal tells the borrower why its call has no outcome.
+func refusal(err error) response {
+	var refused *engine.DialError
+	switch {
+	case errors.As(err, &refused):
+		return response{Failure: failRefused, Code: refused.Code}
+	case errors.Is(err, engine.ErrLenderAway):
+		return response{Failure: failAway}
+	case errors.Is(err, engine.ErrOverloaded):
+		return response{Failure: failOverloaded}
+	case errors.Is(err, engine.ErrFull):
+		return response{Failure: failFull}
+	case !engine.Sent(err):
+		return response{Failure: failNotSent}
 	}
-	ln.conn.SetSessionState(q.Values, enginePrepared(q.Prepared))
-	ln.give(ln.conn)
+	return response{Failure: failBroken}
 }
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"reflect"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +97,9 @@
 	closed atomic.Int64
 	hang   chan struct{}
 	away   atomic.Bool
+
+	mu    sync.Mutex
+	kinds []engine.OpKind
 }
 
 func newPair(t *testing.T) *lendingPair {
@@ -109,7 +113,14 @@
 				if ops[0].Text == "hang" {
 					<-p.hang
 				}
-				return []engine.Outcome{{Rows: []string{ops[0].Text}, Digest: "d"}}, nil
+				o := engine.Outcome{Rows: []string{ops[0].Text}, Digest: "d"}
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.kinds = append(p.kinds, ops[0].Kind)
+				if ops[0].Text == "hang" || ops[0].Kind == engine.OpBegin || ops[0].Text == "stay" {
+					o.State = engine.InTransaction
+				}
+				return []engine.Outcome{o}, nil
 			},
 		}, nil
 	}
@@ -123,44 +134,90 @@
 	return p
 }
 
-func (p *lendingPair) borrow(values map[string]string) (*engine.Conn, error) {
+// run runs a call over the link.
+func (p *lendingPair) run(handle uint64, wait time.Duration, want engine.Want, ops ...engine.Op) ([]engine.Outcome, uint64, error) {
 	address := strings.TrimPrefix(p.server.URL, "http://")
-	return p.b.Borrow(time.Now().Add(time.Second), address, p.member, 0, values)
+	deadline := time.Now().Add(wait)
+	return p.b.Run(address, p.member, handle, engine.Call{Until: deadline, Deadline: deadline, Want: want, Ops: ops})
+}
+
+// eventuallyClosed waits until the lender has closed a connection.
+func (p *lendingPair) eventuallyClosed(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); p.closed.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the lender keeps a connection that its borrower lost")
+		}
+	}
 }
 
 func TestBorrow(t *testing.T) {
 	p := newPair(t)
-	c, err := p.borrow(nil)
-	if err != nil {
-		t.Fatal(err)
+	want := engine.Want{Values: map[string]string{"v": "1"}}
+	for range 2 {
+		out, handle, err := p.run(0, time.Second, want, engine.Op{Text: "READ 7"})
+		if err != nil || out[0].Rows[0] != "READ 7" || out[0].Digest != "d" || handle != 0 {
+			t.Fatalf("a call gives %v, %d, %v", out, handle, err)
+		}
 	}
-	out, err := c.Do(time.Now().Add(time.Second), engine.Op{Text: "READ 7"})
-	if err != nil || out[0].Rows[0] != "READ 7" || out[0].Digest != "d" {
-		t.Fatalf("a borrowed connection answers %v, %v", out, err)
+	if n := p.dials.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
 	}
-	c.SetSessionState(map[string]string{"v": "1"}, map[engine.Shape]string{{Text: "q"}: "c0"})
-	c.GiveBack(c)
-	again, err := p.borrow(map[string]string{"v": "1"})
-	if err != nil {
-		t.Fatal(err)
+	if want := []engine.OpKind{engine.OpSet, engine.OpStatement, engine.OpStatement}; !reflect.DeepEqual(p.kinds, want) {
+		t.Errorf("the endpoint got %v, want the session's value once: %v", p.kinds, want)
+	}
+}
+
+// TestTransactionIsOneLoan answers the load of transactions over scarce
+// connections: one connection is lent from the first statement to the end, a
+// statement is one message each way, and the end needs none of its own.
+func TestTransactionIsOneLoan(t *testing.T) {
+	p := newPair(t)
+	_, handle, err := p.run(0, time.Second, engine.Want{}, engine.Op{Kind: engine.OpBegin}, engine.Op{Text: "stay"})
+	if err != nil || handle == 0 {
+		t.Fatalf("a transaction gives the handle %d, %v", handle, err)
 	}
-	values, prepared := again.SessionState()
-	if values["v"] != "1" || prepared[engine.Shape{Text: "q"}] != "c0" {
-		t.Errorf("the next borrower is told of %v and %v", values, prepared)
+	if _, again, err := p.run(handle, time.Second, engine.Want{}, engine.Op{Text: "stay"}); err != nil || again != handle {
+		t.Fatalf("its next statement gives the handle %d, %v", again, err)
 	}
-	if n := p.dials.Load(); n != 1 {
-		t.Errorf("%d connections were opened, want 1", n)
+	if _, left, err := p.run(handle, time.Second, engine.Want{}, engine.Op{Text: "COMMIT"}); err != nil || left != 0 {
+		t.Fatalf("its end gives the handle %d, %v", left, err)
+	}
+	if _, _, err := p.run(handle, time.Second, engine.Want{}, engine.Op{Text: "late"}); err == nil || engine.Sent(err) {
+		t.Errorf("a statement after the end gives %v, want that nothing was sent", err)
+	}
+	if n, m := p.dials.Load(), p.closed.Load(); n != 1 || m != 0 {
+		t.Errorf("%d connections were opened and %d closed, want 1 and 0", n, m)
 	}
 }
 
+// TestLateAnswer checks that a call whose answer is late fails alone, and that
+// what it left open at the lender ends.
+func TestLateAnswer(t *testing.T) {
+	p := newPair(t)
+	_, _, err := p.run(0, 20*time.Millisecond, engine.Want{}, engine.Op{Text: "hang"})
+	if err == nil || !engine.Sent(err) {
+		t.Errorf("a call without an answer gives %v, want that it may have been sent", err)
+	}
+	if _, _, err := p.run(0, time.Second, engine.Want{}, engine.Op{Text: "READ 7"}); err != nil {
+		t.Errorf("another call over the link gives %v", err)
+	}
+	p.hang <- struct{}{}
+	p.eventuallyClosed(t)
+}
+
 // TestMessagesCarryAll checks that requests and answers survive the way between
 // hosts whole. Reports were left out, and no borrower ever got a proof.
 func TestMessagesCarryAll(t *testing.T) {
 	at := session.Point{Term: 3, Position: 9}
-	ops := []engine.Op{
-		{Kind: engine.OpExecute, ID: "1", Name: "c0", Text: "7 x", After: at},
-		{Kind: engine.OpPrepare, Name: "c0", Shape: engine.Shape{Writes: true, Text: "q"}},
-		{Kind: engine.OpPause, Term: 4},
+	shape := engine.Shape{Writes: true, Text: "q"}
+	call := engine.Call{
+		Class: 2, AnyState: true, Want: engine.Want{Values: map[string]string{"v": "1"}, Shape: &shape},
+		Ops: []engine.Op{
+			{Kind: engine.OpExecute, ID: "1", Text: "7 x", After: at, Shape: shape, Commits: true},
+			{Kind: engine.OpSet, Name: "v", Value: "1"},
+			{Kind: engine.OpPause, Term: 4},
+		},
 	}
 	outcomes := []engine.Outcome{
 		{Code: engine.Behind, Reason: "m", State: engine.FailedTransaction, Point: at},
@@ -168,7 +225,7 @@
 			Role: replicaset.Replica, Term: 3, Held: 4, Received: at, Lag: time.Second,
 		}},
 	}
-	body, err := encode(request{Ops: wireOps(ops)})
+	body, err := encode(wireRequest("g", "m", 0, call))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -176,8 +233,10 @@
 	if err := cbor.Unmarshal(body, &q); err != nil {
 		t.Fatal(err)
 	}
-	if got := engineOps(q.Ops); !reflect.DeepEqual(got, ops) {
-		t.Errorf("requests arrive as %+v, want %+v", got, ops)
+	got := q.call()
+	got.Until, got.Deadline = call.Until, call.Deadline
+	if !reflect.DeepEqual(got, call) || q.Group != "g" || q.Endpoint != "m" {
+		t.Errorf("a call arrives as %+v for %s of %s, want %+v", got, q.Endpoint, q.Group, call)
 	}
 	if body, err = encode(response{Outcomes: wireOutcomes(outcomes)}); err != nil {
 		t.Fatal(err)
@@ -195,13 +254,9 @@
 // the lender closes what was lent over it, which rolls it back.
 func TestLinkBreaks(t *testing.T) {
 	p := newPair(t)
-	c, err := p.borrow(nil)
-	if err != nil {
-		t.Fatal(err)
-	}
 	failed := make(chan error, 1)
 	go func() {
-		_, err := c.Do(time.Now().Add(time.Minute), engine.Op{Text: "hang"})
+		_, _, err := p.run(0, time.Minute, engine.Want{}, engine.Op{Kind: engine.OpBegin}, engine.Op{Text: "hang"})
 		failed <- err
 	}()
 	time.Sleep(50 * time.Millisecond)
@@ -210,26 +265,22 @@
 		l.cancel()
 	}
 	p.b.mu.Unlock()
-	if err := <-failed; err == nil {
-		t.Error("a call over a broken link succeeds")
+	if err := <-failed; err == nil || !engine.Sent(err) {
+		t.Errorf("a call over a broken link gives %v, want that it may have been sent", err)
 	}
 	p.hang <- struct{}{}
-	for end := time.Now().Add(5 * time.Second); p.closed.Load() == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the lender keeps a connection that its borrower lost")
-		}
-	}
+	p.eventuallyClosed(t)
 }
 
 func TestLenderAway(t *testing.T) {
 	p := newPair(t)
 	p.away.Store(true)
-	if _, err := p.borrow(nil); !errors.Is(err, engine.ErrLenderAway) {
+	if _, _, err := p.run(0, time.Second, engine.Want{}, engine.Op{Text: "x"}); !errors.Is(err, engine.ErrLenderAway) || engine.Sent(err) {
 		t.Errorf("a host that stops gives %v", err)
 	}
 	p.server.Config.Handler = http.NotFoundHandler()
 	p.server.Close()
-	if _, err := p.borrow(nil); !errors.Is(err, engine.ErrLenderAway) {
+	if _, _, err := p.run(0, time.Second, engine.Want{}, engine.Op{Text: "x"}); !errors.Is(err, engine.ErrLenderAway) || engine.Sent(err) {
 		t.Errorf("a host that is gone gives %v", err)
 	}
 }
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -14,9 +14,10 @@
 type verb uint8
 
 const (
-	verbAcquire verb = iota
-	verbDo
-	verbRelease
+	// verbRun runs a call, for a handle or else over a connection that gets free.
+	verbRun verb = iota
+	// verbReturn ends a transaction that a call left open.
+	verbReturn
 )
 
 // failure says why a lender did not do what it was asked.
@@ -28,8 +29,13 @@
 	failFull
 	// failRefused says that the endpoint refused a connection, with a code.
 	failRefused
-	// failBroken says that the connection broke.
+	// failBroken says that the connection broke, and that the endpoint may have
+	// got the request.
 	failBroken
+	// failNotSent says that the connection broke before a request was sent.
+	failNotSent
+	// failOverloaded says that too much waits already.
+	failOverloaded
 	// failAway says that the host does not lend.
 	failAway
 )
@@ -42,27 +48,26 @@
 	Group    session.Group
 	Endpoint replicaset.EndpointID
 	Class    int
-	WaitMS   int64
-	Broken   bool
-	Values   map[string]string
-	Prepared []preparedShape
-	Ops      []op
+	// UntilMS is how long the call may wait, AnswerMS how long it may take.
+	UntilMS, AnswerMS int64
+	AnyState          bool
+	Values            map[string]string
+	Shape             *shape
+	Ops               []op
 }
 
 type response struct {
-	_        struct{} `cbor:",toarray"`
-	Seq      uint64
-	Failure  failure
-	Code     engine.Code
+	_       struct{} `cbor:",toarray"`
+	Seq     uint64
+	Failure failure
+	Code    engine.Code
+	// Handle names the transaction that the call left open, 0 for none.
 	Handle   uint64
-	Values   map[string]string
-	Prepared []preparedShape
 	Outcomes []outcome
 }
 
-type preparedShape struct {
+type shape struct {
 	_      struct{} `cbor:",toarray"`
-	Name   string
 	Writes bool
 	Text   string
 }
@@ -73,8 +78,7 @@
 	ID, Text       string
 	Term, Position uint64
 	Name, Value    string
-	ShapeWrites    bool
-	ShapeText      string
+	Commits        bool
 	PauseTerm      uint64
 }
 
@@ -106,22 +110,47 @@
 		out[i] = op{
 			Kind: o.Kind, ID: o.ID, Text: o.Text, Name: o.Name, Value: o.Value,
 			Term: uint64(o.After.Term), Position: uint64(o.After.Position),
-			ShapeWrites: o.Shape.Writes, ShapeText: o.Shape.Text, PauseTerm: uint64(o.Term),
+			Commits: o.Commits, PauseTerm: uint64(o.Term),
 		}
 	}
 	return out
 }
 
-func engineOps(ops []op) []engine.Op {
-	out := make([]engine.Op, len(ops))
-	for i, o := range ops {
-		out[i] = engine.Op{
-			Kind: o.Kind, ID: o.ID, Text: o.Text, Name: o.Name, Value: o.Value,
-			After: point(o.Term, o.Position), Shape: engine.Shape{Writes: o.ShapeWrites, Text: o.ShapeText},
-			Term: session.Term(o.PauseTerm),
+// wireRequest is a call as it goes over a link.
+func wireRequest(g session.Group, id replicaset.EndpointID, handle uint64, c engine.Call) request {
+	q := request{
+		Verb: verbRun, Handle: handle, Class: c.Class, UntilMS: millis(time.Until(c.Until)),
+		AnswerMS: max(millis(time.Until(c.Deadline)), 1), AnyState: c.AnyState, Values: c.Want.Values, Ops: wireOps(c.Ops),
+	}
+	if handle == 0 {
+		q.Group, q.Endpoint = g, id
+	}
+	if s := c.Want.Shape; s != nil {
+		q.Shape = &shape{Writes: s.Writes, Text: s.Text}
+	}
+	return q
+}
+
+// call is what a request asks for; its times count from now on.
+func (q request) call() engine.Call {
+	now := time.Now()
+	c := engine.Call{
+		Until: now.Add(time.Duration(q.UntilMS) * time.Millisecond), Deadline: now.Add(time.Duration(q.AnswerMS) * time.Millisecond),
+		Class: q.Class, AnyState: q.AnyState, Want: engine.Want{Values: q.Values}, Ops: make([]engine.Op, len(q.Ops)),
+	}
+	if q.Shape != nil {
+		c.Want.Shape = &engine.Shape{Writes: q.Shape.Writes, Text: q.Shape.Text}
+	}
+	for i, o := range q.Ops {
+		c.Ops[i] = engine.Op{
+			Kind: o.Kind, ID: o.ID, Text: o.Text, Name: o.Name, Value: o.Value, Commits: o.Commits,
+			After: point(o.Term, o.Position), Term: session.Term(o.PauseTerm),
+		}
+		if o.Kind == engine.OpExecute && c.Want.Shape != nil {
+			c.Ops[i].Shape = *c.Want.Shape
 		}
 	}
-	return out
+	return c
 }
 
 func wireOutcomes(outcomes []engine.Outcome) []outcome {
@@ -170,20 +199,4 @@
 	return session.Point{Term: session.Term(term), Position: session.Position(position)}
 }
 
-func wirePrepared(shapes map[engine.Shape]string) []preparedShape {
-	out := make([]preparedShape, 0, len(shapes))
-	for s, name := range shapes {
-		out = append(out, preparedShape{Name: name, Writes: s.Writes, Text: s.Text})
-	}
-	return out
-}
-
-func enginePrepared(shapes []preparedShape) map[engine.Shape]string {
-	out := make(map[engine.Shape]string, len(shapes))
-	for _, s := range shapes {
-		out[engine.Shape{Writes: s.Writes, Text: s.Text}] = s.Name
-	}
-	return out
-}
-
 func millis(d time.Duration) int64 { return d.Milliseconds() }
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -10,15 +10,28 @@
 const (
 	// defaultLatency stands for a member that has not answered yet.
 	defaultLatency = 5 * time.Millisecond
-	// remotePenalty is what a read in another zone is held to cost: bytes
-	// between zones are dearer than a short wait.
-	remotePenalty = 25 * time.Millisecond
+	// zonePenalty and regionPenalty are what a read in another zone of the
+	// region, or in another region, is held to cost beside its time: bytes that
+	// leave a region are dearer than a short wait.
+	zonePenalty   = 2 * time.Millisecond
+	regionPenalty = 25 * time.Millisecond
+	// behindPenalty is what a member is held to cost that lacked what a read
+	// needs a moment ago: more than the wait at any other member.
+	behindPenalty = 500 * time.Millisecond
+	// behindFirst is how long a member that lacked a position is passed over for
+	// reads that need it, doubled up to behindLast while it goes on to lack it.
+	behindFirst = 60 * time.Millisecond
+	behindLast  = 960 * time.Millisecond
 	// silentAfter is how long a busy member leaves nothing unanswered while it
 	// is merely slow.
 	silentAfter = 400 * time.Millisecond
 	// drainLimit is how long a leaving member may get work if nobody else can
 	// do it. Its report may have been on the way for a while.
 	drainLimit = 4 * time.Second
+	// busyFor is how long a member that refused work as too much is held to be
+	// busy, and busyPenalty the wait that is expected there.
+	busyFor     = 50 * time.Millisecond
+	busyPenalty = 150 * time.Millisecond
 	// primaryPenalty keeps reads away from the primary, which alone can write.
 	primaryPenalty = 8 * time.Millisecond
 )
@@ -127,23 +140,70 @@
 	cost := s.decayed(now, m)
 	slots := max(m.Slots, 1)
 	cost += cost * time.Duration(m.inFlight) / time.Duration(slots)
-	if m.Zone != s.Zone {
-		cost += remotePenalty
-	}
+	cost += s.distance(m.Zone)
 	if m.ID == s.lead.ID {
 		cost += primaryPenalty
-	} else if m.position.Less(need) && m.position != (session.Point{}) {
-		cost += remotePenalty
+	} else if m.behindUntil > now && m.position.Less(need) && !need.Less(m.behind) {
+		cost += behindPenalty
 	}
 	if m.Draining || m.removedAt != 0 {
 		cost += time.Second
 	}
+	if m.busyUntil > now {
+		cost += busyPenalty
+	}
 	if m.avoidUntil > now {
 		cost += 2 * time.Second
 	}
 	return cost
 }
 
+// distance is the penalty for a member's zone.
+func (s *Set) distance(zone string) time.Duration {
+	if zone == s.Zone {
+		return 0
+	}
+	if region, ok := s.Regions[zone]; ok && region == s.Regions[s.Zone] {
+		return zonePenalty
+	}
+	return regionPenalty
+}
+
+// Skipped notes the end of a statement that was not sent, because others wait
+// for the member already.
+func (s *Set) Skipped(now Instant, id EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok {
+		m.inFlight = max(m.inFlight-1, 0)
+		if m.inFlight == 0 {
+			m.waitingSince = 0
+		}
+		m.busyUntil = now.Add(busyFor)
+	}
+}
+
+// Overloaded notes that a member refused a statement because it has too many.
+func (s *Set) Overloaded(now Instant, id EndpointID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok {
+		m.busyUntil = now.Add(busyFor)
+	}
+}
+
+// Behind notes that a member lacked a position that a read needs.
+func (s *Set) Behind(now Instant, id EndpointID, need session.Point) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	if !ok {
+		return
+	}
+	m.behindFor = min(max(2*m.behindFor, behindFirst), behindLast)
+	m.behind, m.behindUntil = need, now.Add(m.behindFor)
+}
+
 func (s *Set) decayed(now Instant, m *state) time.Duration {
 	if m.latency == 0 {
 		return defaultLatency
@@ -187,6 +247,9 @@
 	}
 	m.answered(now)
 	m.position = m.position.Max(p)
+	if m.behindFor != 0 && !m.position.Less(m.behind) {
+		m.behindFor, m.behindUntil = 0, 0
+	}
 	if id != s.lead.ID {
 		s.replicaAt(p)
 	}
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -37,6 +37,12 @@
 	latencyAt  Instant
 	inFlight   int
 	position   session.Point
+	// behind is the position that the member lacked when it was last asked;
+	// until behindUntil it is passed over for what needs it.
+	behind      session.Point
+	behindUntil Instant
+	behindFor   time.Duration
+	busyUntil   Instant
 	// answeredAt is when the member last answered anything.
 	answeredAt Instant
 	// waitingSince is since when a statement waits and nothing was answered.
@@ -51,6 +57,8 @@
 type Set struct {
 	Name session.Group
 	Zone string
+	// Regions tells the region of each zone; nil takes each zone for a region.
+	Regions map[string]string
 
 	mu      sync.Mutex
 	members map[EndpointID]*state
@@ -98,7 +106,7 @@
 	}
 	s.back(m)
 	if old.Started != m.Started {
-		old.position = session.Point{}
+		old.position, old.behindFor, old.behindUntil = session.Point{}, 0, 0
 		old.avoidUntil = 0
 	}
 	if m.Draining && !old.Draining {
--- a/internal/replicaset/set_test.go
+++ b/internal/replicaset/set_test.go
@@ -85,6 +85,44 @@
 	props.TestingRun(t)
 }
 
+// TestReadOrderRegions answers the load of hosts in zones that have no endpoint
+// of their own: reads stay in the region.
+func TestReadOrderRegions(t *testing.T) {
+	s := testSet()
+	s.Zone = "zone-b2"
+	s.Regions = map[string]string{"zone-a": "north", "zone-p": "east", "zone-b": "west", "zone-b2": "west"}
+	if got := s.ReadOrder(at(1000), point(1, 5), nil); got[0].ID != "b" {
+		t.Errorf("a read goes to %s first, want b in the own region", got[0].ID)
+	}
+}
+
+// TestReadOrderBehind answers the load of replicas that fell behind: a member
+// that lacked a position is passed over for what needs it, tried again ever more
+// rarely, and taken again once it has the position.
+func TestReadOrderBehind(t *testing.T) {
+	s := testSet()
+	first := func(now int, need session.Point) EndpointID { return s.ReadOrder(at(now), need, nil)[0].ID }
+	s.Behind(at(1000), "a", point(1, 9))
+	if got := first(1010, point(1, 9)); got == "a" {
+		t.Error("the member that lacked the position is asked again at once")
+	}
+	if got := first(1010, point(1, 8)); got != "a" {
+		t.Errorf("%s is asked for an older position, want the near member", got)
+	}
+	if got := first(1061, point(1, 9)); got != "a" {
+		t.Errorf("%s is asked after the pause, want the near member", got)
+	}
+	s.Behind(at(1061), "a", point(1, 9))
+	if got := first(1161, point(1, 9)); got == "a" {
+		t.Error("the second pause is not longer than the first")
+	}
+	s.Began(at(1161), "a")
+	s.Ended(at(1162), "a", time.Millisecond, true, point(1, 9))
+	if got := first(1163, point(1, 9)); got != "a" {
+		t.Errorf("%s is asked, want the near member, which has the position now", got)
+	}
+}
+
 func TestReadOrder(t *testing.T) {
 	tests := []struct {
 		name   string
