Hosts that lend keep proofs and positions fresh and tell them; connections are opened ahead

Cause: with 59 and 79 hosts each one reads a group about three times a second; it had no young position and no proof most of the time, asked for them across regions, and sent reads that a replica could serve to the primary. A host that holds a member's connections renews proof and position while it is in demand, proves the lead for those who borrow, and tells both with each answer; an age that is told is never younger than it was. It opens slots + 2 connections ahead. Ruled out: slow endpoints in the first seconds.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -24,6 +24,9 @@
 	// Class orders those who wait, the lowest first.
 	Class int
 	Want  Want
+	// Proof asks for a proof that the endpoint leads its group, from whoever holds
+	// the connection, before the first request is sent.
+	Proof bool
 	// AnyState marks requests that do not depend on a session's state.
 	AnyState bool
 	Ops      []Op
@@ -175,6 +178,6 @@
 // because the endpoint refused a connection: it says nothing against the endpoint.
 func notTried(err error) bool {
 	var refused *DialError
-	return errors.Is(err, errOverloaded) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
+	return errors.Is(err, errNoProof) || errors.Is(err, errOverloaded) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
 		errors.Is(err, ErrLenderAway) || errors.As(err, &refused)
 }
--- a/internal/engine/detour_test.go
+++ b/internal/engine/detour_test.go
@@ -25,12 +25,12 @@
 	}
 	e.Lenders = func(replicaset.Member, int) ([]string, int) { return nil, 0 }
 	e.Detours = func(replicaset.Member) []string { return []string{"away", "near"} }
-	e.Borrow = func(address string, _ replicaset.Member, _ uint64, _ Call) ([]Outcome, uint64, error) {
+	e.Borrow = func(address string, _ replicaset.Member, _ uint64, _ Call) (FarAnswer, error) {
 		if address == "away" {
-			return nil, 0, NotSent(ErrLenderAway)
+			return FarAnswer{}, NotSent(ErrLenderAway)
 		}
 		borrowed.Add(1)
-		return []Outcome{{}}, 0, nil
+		return FarAnswer{Outcomes: []Outcome{{}}}, nil
 	}
 	m := replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}
 	p := e.pool(e.group("g"), m)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,9 +30,9 @@
 	// Detours lists the hosts to ask for a connection to an endpoint that this
 	// host does not reach, the first choice first.
 	Detours func(m replicaset.Member) (addresses []string)
-	// Borrow runs a call over a connection of another host. A transaction that it
-	// leaves open is named by a handle, for the calls that follow; 0 is none.
-	Borrow func(address string, m replicaset.Member, handle uint64, call Call) (out []Outcome, left uint64, err error)
+	// Borrow runs a call over a connection of another host, in the transaction that
+	// the handle names, 0 for none.
+	Borrow func(address string, m replicaset.Member, handle uint64, call Call) (FarAnswer, error)
 	// Return ends a transaction that a call at another host left open.
 	Return func(address string, handle uint64)
 	// Event reports a decision; it must not block.
@@ -64,6 +64,8 @@
 	pools    map[replicaset.EndpointID]*pool
 	policy   GroupPolicy
 	question *question
+	// refreshing is set while the group's freshness is renewed.
+	refreshing atomic.Bool
 }
 
 func (e *Engine) event(v Event) {
@@ -156,6 +158,7 @@
 			e.reshare(p)
 			p.trim()
 		}
+		e.keepFresh(g, now)
 	}
 }
 
--- /dev/null
+++ b/internal/engine/fresh.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// freshSample and freshProof are the ages at which a host that holds the
+	// connections of a group's member learns them anew, before those who borrow
+	// need them: a read of the latest state takes a proof that is up to ProofTime
+	// old, a read that accepts an age a sample of that age.
+	freshSample = 400 * time.Millisecond
+	freshProof  = 500 * time.Millisecond
+	// demandTime is how long after the last loan a member's holder goes on.
+	demandTime = 3 * time.Second
+	// warmSpare is how many connections beyond an endpoint's slots are opened
+	// before somebody waits for them.
+	warmSpare = 2
+)
+
+// used notes that the pool's connections are in demand.
+func (p *pool) used(now replicaset.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usedAt = now
+}
+
+// wanted reports whether the pool's connections were in demand lately.
+func (p *pool) wanted(now replicaset.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usedAt != 0 && now.Sub(p.usedAt) < demandTime
+}
+
+// keepFresh learns what those who borrow from this host need, and opens
+// connections ahead of them. Hosts that keep their own connections learn it from
+// their own statements.
+func (e *Engine) keepFresh(g *group, now replicaset.Instant) {
+	if e.Lenders == nil {
+		return
+	}
+	wanted := false
+	for _, m := range g.Members() {
+		lenders, holders := e.Lenders(m, g.maxConnections())
+		if holders == 0 || !slices.Contains(lenders[:holders], "") {
+			continue
+		}
+		p := e.pool(g, m)
+		if p.warm() {
+			go p.open1()
+		}
+		wanted = wanted || p.wanted(now)
+	}
+	if !wanted || !g.refreshing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.refreshing.Store(false)
+		e.refresh(g)
+	}()
+}
+
+func (g *group) maxConnections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.policy.MaxConnections
+}
+
+// refresh renews the proof that the primary leads, and the position of its log.
+func (e *Engine) refresh(g *group) {
+	lead := g.Lead()
+	if k := g.Known(e.Boot()); lead.ID == "" || lead.Switching {
+		return
+	} else if k.ProofAge < 0 || k.ProofAge > freshProof {
+		q, mine := g.ask()
+		if !mine {
+			return
+		}
+		q.err = e.question(g, lead)
+		g.answer(q)
+	}
+	m, ok := g.Member(g.Lead().ID)
+	if k := g.Known(e.Boot()); !ok || k.SampleAge >= 0 && k.SampleAge <= freshSample {
+		return
+	}
+	sentAt := e.Boot()
+	st, err := e.status(m, proofTimeout)
+	if err != nil {
+		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "no_sample", Reason: err.Error()})
+		return
+	}
+	if st.Role == replicaset.Primary {
+		e.sample(g, m, sentAt, session.Point{Term: st.Received.Term, Position: st.Received.Position})
+	}
+}
+
+// warm reports whether a connection should be opened ahead of demand.
+func (p *pool) warm() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := min(p.share, max(p.member.Slots, 1)+warmSpare)
+	if p.opening || p.open >= most || !p.mayOpen() || p.member.Role == replicaset.Unknown {
+		return false
+	}
+	p.opening = true
+	p.open++
+	return true
+}
+
+// open1 opens the connection that warm asked for.
+func (p *pool) open1() {
+	c, err := p.connect(p.now().Add(dialTimeout), classRead)
+	p.mu.Lock()
+	p.opening = false
+	p.mu.Unlock()
+	if err == nil {
+		p.release(c)
+	}
+}
--- /dev/null
+++ b/internal/engine/fresh_test.go
@@ -0,0 +1,81 @@
+package engine
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// holder is an engine that holds the connections to all members of a group.
+func holder(now *replicaset.Instant) *Engine {
+	lead := replicaset.Status{Role: replicaset.Primary, Term: 1, Received: session.Point{Term: 1, Position: 7}}
+	follows := replicaset.Status{Role: replicaset.Replica, Term: 1, Received: session.Point{Term: 1, Position: 6}}
+	e := reporters(now, map[replicaset.EndpointID]*replicaset.Status{"old": &lead, "next": &follows, "third": &follows})
+	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{""}, 1 }
+	e.Apply(&Declared{Version: 1, Groups: map[session.Group]GroupPolicy{"g": {MaxConnections: 9, Synchronous: true}}})
+	e.Group("g").SetLead(replicaset.Lead{ID: "old", Term: 1, Version: 1})
+	return e
+}
+
+// TestHolderKeepsFresh answers the load of many hosts that each read a group
+// seldom: the host that they borrow from has a proof and a position before they
+// need them, while it is in demand, and connections before the first one.
+func TestHolderKeepsFresh(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := holder(&now)
+	g := e.group("g")
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+			e.Maintain()
+		}
+	}
+	lead, _ := g.Member("old")
+	eventually("no connection is opened ahead of demand", func() bool {
+		open, _, _ := e.pool(g, lead).load()
+		return open == 1+warmSpare
+	})
+	if k := g.Known(now); k.ProofAge >= 0 {
+		t.Error("endpoints are asked although nobody borrows")
+	}
+	deadline := time.Now().Add(time.Second)
+	loan, err := e.Lend("g", "old", Call{Until: deadline, Deadline: deadline, Class: classRead})
+	if err != nil {
+		t.Fatal(err)
+	}
+	loan.End()
+	eventually("a holder in demand has no proof and no position", func() bool {
+		k := g.Known(now)
+		return k.ProofAge >= 0 && k.SampleAge >= 0 && k.Point.Position == 7
+	})
+	now = now.Add(freshProof + freshSample)
+	eventually("a holder in demand lets its knowledge grow old", func() bool {
+		k := g.Known(now)
+		return k.ProofAge == 0 && k.SampleAge == 0
+	})
+}
+
+// TestLoanNeedsProof checks that a host lends for a read of the latest state only
+// what it can prove to lead.
+func TestLoanNeedsProof(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := holder(&now)
+	deadline := time.Now().Add(time.Second)
+	call := Call{Until: deadline, Deadline: deadline, Class: classRead, Proof: true}
+	if _, err := e.Lend("g", "old", call); err != nil {
+		t.Errorf("the primary is not lent: %v", err)
+	}
+	if _, err := e.Lend("g", "next", call); !errors.Is(err, ErrNoProof) {
+		t.Errorf("a replica is lent as the primary: %v", err)
+	}
+	e.Group("g").SetLead(replicaset.Lead{ID: "old", Term: 1, Switching: true, Version: 2})
+	if _, err := e.Lend("g", "old", call); !errors.Is(err, ErrNoProof) {
+		t.Errorf("a primary that is being replaced is lent: %v", err)
+	}
+}
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -18,6 +18,9 @@
 // ErrFull says that no connection to an endpoint is to be had.
 var ErrFull = errFull
 
+// ErrNoProof says that nothing shows that a primary still leads.
+var ErrNoProof = errNoProof
+
 // ErrOverloaded says that more waits for an endpoint than it serves in time.
 var ErrOverloaded = errOverloaded
 
@@ -31,6 +34,15 @@
 	conn *Conn
 }
 
+// FarAnswer is what a host that lent a connection answers to a call.
+type FarAnswer struct {
+	Outcomes []Outcome
+	// Handle names the transaction that the call left open, 0 for none.
+	Handle uint64
+	// Known is what that host knows of the group.
+	Known replicaset.Knowledge
+}
+
 // Lend takes a connection to an endpoint for another host.
 func (e *Engine) Lend(name session.Group, id replicaset.EndpointID, call Call) (*Loan, error) {
 	g := e.group(name)
@@ -38,14 +50,30 @@
 	if !ok {
 		return nil, &DialError{Code: WrongEndpoint}
 	}
+	if err := e.proveFor(g, id, call); err != nil {
+		return nil, err
+	}
 	p := e.pool(g, m)
 	c, err := p.own(call.Until, call.Class, call.Want.Values)
 	if err != nil {
 		return nil, err
 	}
+	p.used(e.Boot())
 	return &Loan{e: e, g: g, m: m, pool: p, conn: c}, nil
 }
 
+// proveFor gives the proof that a call asks for.
+func (e *Engine) proveFor(g *group, id replicaset.EndpointID, call Call) error {
+	if !call.Proof {
+		return nil
+	}
+	lead := g.Lead()
+	if lead.ID != id {
+		return errNoProof
+	}
+	return e.prove(g, lead, e.Boot())
+}
+
 // Run runs a call of the borrower.
 func (l *Loan) Run(call Call) ([]Outcome, error) {
 	out, err := l.e.perform(l.g, l.m, l.conn, call)
@@ -55,6 +83,9 @@
 	return out, err
 }
 
+// Known returns what this host knows of the loan's group.
+func (l *Loan) Known() replicaset.Knowledge { return l.g.Known(l.e.Boot()) }
+
 // Over reports whether the borrower needs the connection no more: no transaction
 // is open on it.
 func (l *Loan) Over() bool { return l.conn.broken || l.conn.state == Idle }
@@ -120,6 +151,9 @@
 }
 
 func (b *borrowed) runOwn(call Call) ([]Outcome, error) {
+	if err := b.e.proveFor(b.e.group(b.pool.member.Group), b.pool.member.ID, call); err != nil {
+		return nil, NotSent(err)
+	}
 	c, err := b.pool.own(call.Until, call.Class, call.Want.Values)
 	if err != nil {
 		return nil, NotSent(err)
@@ -129,9 +163,13 @@
 }
 
 func (b *borrowed) ask(address string, call Call) ([]Outcome, error) {
-	out, handle, err := b.e.Borrow(address, b.pool.member, b.handle, call)
-	b.address, b.handle = address, handle
-	return out, err
+	asked := b.e.Boot()
+	a, err := b.e.Borrow(address, b.pool.member, b.handle, call)
+	b.address, b.handle = address, a.Handle
+	if err == nil {
+		b.e.group(b.pool.member.Group).Learned(asked, a.Known)
+	}
+	return a.Outcomes, err
 }
 
 func (b *borrowed) giveBack() {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -62,6 +62,10 @@
 	// isCut is set while this host does not reach the endpoint.
 	isCut         bool
 	noDetourUntil time.Time
+	// usedAt is when another host last borrowed, opening is set while a
+	// connection is opened ahead of demand.
+	usedAt  replicaset.Instant
+	opening bool
 }
 
 // setShare sets how many connections the host may always hold, and how many it
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -84,18 +84,34 @@
 	class  int
 	// until bounds the wait for a connection, deadline the answer.
 	until, deadline time.Time
+	// proof asks for a proof that the member leads, for a caller who came then.
+	proof bool
+	lead  replicaset.Lead
+	came  replicaset.Instant
 }
 
 // call returns requests of the attempt under the session's state.
 func (a attempt) call(want Want, ops ...Op) Call {
-	return Call{Until: a.until, Deadline: a.deadline, Class: a.class, Want: want, Ops: ops}
+	return Call{Until: a.until, Deadline: a.deadline, Class: a.class, Proof: a.proof, Want: want, Ops: ops}
+}
+
+// connect gets a connection for an attempt. Where the attempt needs a proof that
+// the member leads, a host that lends the connection gives it.
+func (s *CallerSession) connect(a attempt, p *pool) (*Conn, error) {
+	c, err := s.e.acquire(p, a.until, a.class, s.values)
+	if err == nil && a.proof && c.Far == nil {
+		if err = s.e.prove(a.g, a.lead, a.came); err != nil {
+			p.release(c)
+		}
+	}
+	return c, err
 }
 
 // at runs a statement on some connection of a member. sent tells whether the
 // endpoint may have got it.
 func (s *CallerSession) at(a attempt, w work) (o Outcome, sent bool, err error) {
 	p := s.e.pool(a.g, a.member)
-	c, err := s.e.acquire(p, a.until, a.class, s.values)
+	c, err := s.connect(a, p)
 	if err != nil {
 		s.e.failed(a.g, p, err)
 		return refusal(err), false, err
@@ -256,19 +272,13 @@
 		if !ok {
 			break
 		}
-		if err := s.e.prove(g, lead, came); err != nil {
-			last = Outcome{Code: Busy, Reason: err.Error()}
-			s.retried(w, m, last, err)
-			s.pause(g, deadline)
-			continue
-		}
-		o, _, err := s.at(s.readAttempt(g, m, deadline, true), w)
+		a := s.readAttempt(g, m, deadline, true)
+		a.proof, a.lead, a.came = true, lead, came
+		o, _, err := s.at(a, w)
 		if err == nil && !o.Code.notRun() {
 			return o
 		}
-		if err == nil {
-			last = o
-		}
+		last = o
 		s.retried(w, m, o, err)
 		s.pause(g, deadline)
 	}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -67,10 +67,13 @@
 		return a, replicaset.Lead{}, true
 	}
 	lead, m, ok := s.leader(g, deadline)
-	if !ok || !known && s.e.prove(g, lead, began) != nil {
+	if !ok {
 		return attempt{}, lead, false
 	}
-	return attempt{g: g, member: m, after: need, class: classWrite, until: deadline, deadline: deadline}, lead, true
+	return attempt{
+		g: g, member: m, after: need, class: classWrite, until: deadline, deadline: deadline,
+		proof: !known, lead: lead, came: began,
+	}, lead, true
 }
 
 // begin is what starts the transaction at an endpoint.
@@ -85,7 +88,7 @@
 // It reports whether the transaction stands, or failed in a way that is final.
 func (s *CallerSession) start(a attempt, lead replicaset.Lead, w work) (Outcome, bool, error) {
 	p := s.e.pool(a.g, a.member)
-	c, err := s.e.acquire(p, a.until, a.class, s.values)
+	c, err := s.connect(a, p)
 	if err != nil {
 		s.e.failed(a.g, p, err)
 		return refusal(err), false, err
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -61,37 +61,43 @@
 	used    time.Time
 }
 
-// Run runs a call at an endpoint over a lender's connection. A handle names the
-// transaction that it belongs to, and that it left open; 0 is none. The error of
-// a lender that is away wraps engine.ErrLenderAway.
-func (b *Borrower) Run(address string, m replicaset.Member, handle uint64, c engine.Call) ([]engine.Outcome, uint64, error) {
+// Run runs a call at an endpoint over a lender's connection. The error of a
+// lender that is away wraps engine.ErrLenderAway.
+func (b *Borrower) Run(address string, m replicaset.Member, handle uint64, c engine.Call) (engine.FarAnswer, error) {
 	l, err := b.link(address)
 	if err != nil {
-		return nil, 0, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, err))
+		return engine.FarAnswer{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, err))
 	}
 	a, err := l.call(c.Deadline, wireRequest(m.Group, m.ID, handle, c))
 	if err != nil {
-		return nil, 0, err
+		return engine.FarAnswer{}, err
 	}
-	out := engineOutcomes(a.Outcomes)
+	if a.Failure == failAway {
+		b.Down(address)
+	}
+	out := engine.FarAnswer{Outcomes: engineOutcomes(a.Outcomes), Handle: a.Handle, Known: a.Known.knowledge()}
+	return out, a.err()
+}
+
+// err is the error that a lender's answer stands for.
+func (a response) err() error {
 	switch a.Failure {
 	case failNone:
-		return out, a.Handle, nil
+		return nil
 	case failRefused:
-		err = &engine.DialError{Code: a.Code}
+		return engine.NotSent(&engine.DialError{Code: a.Code})
 	case failAway:
-		b.Down(address)
-		err = fmt.Errorf("%w: %w", engine.ErrLenderAway, errAway)
+		return engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, errAway))
 	case failFull:
-		err = engine.ErrFull
+		return engine.NotSent(engine.ErrFull)
 	case failOverloaded:
-		err = engine.ErrOverloaded
+		return engine.NotSent(engine.ErrOverloaded)
+	case failNoProof:
+		return engine.NotSent(engine.ErrNoProof)
 	case failNotSent:
-		err = errLinkBroken
-	default:
-		return out, 0, errLinkBroken
+		return engine.NotSent(errLinkBroken)
 	}
-	return out, a.Handle, engine.NotSent(err)
+	return errLinkBroken
 }
 
 // Return ends a transaction that a call left open.
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -122,7 +122,7 @@
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	out, err := ln.Run(call)
-	a := response{Outcomes: wireOutcomes(out)}
+	a := response{Outcomes: wireOutcomes(out), Known: wireKnown(ln.Known())}
 	if err != nil {
 		a = refusal(err)
 	}
@@ -181,6 +181,8 @@
 		return response{Failure: failRefused, Code: refused.Code}
 	case errors.Is(err, engine.ErrLenderAway):
 		return response{Failure: failAway}
+	case errors.Is(err, engine.ErrNoProof):
+		return response{Failure: failNoProof}
 	case errors.Is(err, engine.ErrOverloaded):
 		return response{Failure: failOverloaded}
 	case errors.Is(err, engine.ErrFull):
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -138,7 +138,8 @@
 func (p *lendingPair) run(handle uint64, wait time.Duration, want engine.Want, ops ...engine.Op) ([]engine.Outcome, uint64, error) {
 	address := strings.TrimPrefix(p.server.URL, "http://")
 	deadline := time.Now().Add(wait)
-	return p.b.Run(address, p.member, handle, engine.Call{Until: deadline, Deadline: deadline, Want: want, Ops: ops})
+	a, err := p.b.Run(address, p.member, handle, engine.Call{Until: deadline, Deadline: deadline, Want: want, Ops: ops})
+	return a.Outcomes, a.Handle, err
 }
 
 // eventuallyClosed waits until the lender has closed a connection.
@@ -212,7 +213,7 @@
 	at := session.Point{Term: 3, Position: 9}
 	shape := engine.Shape{Writes: true, Text: "q"}
 	call := engine.Call{
-		Class: 2, AnyState: true, Want: engine.Want{Values: map[string]string{"v": "1"}, Shape: &shape},
+		Class: 2, AnyState: true, Proof: true, Want: engine.Want{Values: map[string]string{"v": "1"}, Shape: &shape},
 		Ops: []engine.Op{
 			{Kind: engine.OpExecute, ID: "1", Text: "7 x", After: at, Shape: shape, Commits: true},
 			{Kind: engine.OpSet, Name: "v", Value: "1"},
@@ -238,13 +239,19 @@
 	if !reflect.DeepEqual(got, call) || q.Group != "g" || q.Endpoint != "m" {
 		t.Errorf("a call arrives as %+v for %s of %s, want %+v", got, q.Endpoint, q.Group, call)
 	}
-	if body, err = encode(response{Outcomes: wireOutcomes(outcomes)}); err != nil {
+	knows := replicaset.Knowledge{Lead: "m", Term: 3, Point: at, SampleAge: 41 * time.Millisecond, ProofAge: -1}
+	told := knows
+	told.SampleAge += time.Millisecond
+	if body, err = encode(response{Outcomes: wireOutcomes(outcomes), Known: wireKnown(knows)}); err != nil {
 		t.Fatal(err)
 	}
 	var a response
 	if err := cbor.Unmarshal(body, &a); err != nil {
 		t.Fatal(err)
 	}
+	if got := a.Known.knowledge(); got != told {
+		t.Errorf("what a lender knows arrives as %+v, want %+v", got, told)
+	}
 	if got := engineOutcomes(a.Outcomes); !reflect.DeepEqual(got, outcomes) {
 		t.Errorf("answers arrive as %+v, want %+v", got, outcomes)
 	}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -36,6 +36,8 @@
 	failNotSent
 	// failOverloaded says that too much waits already.
 	failOverloaded
+	// failNoProof says that nothing shows that the endpoint leads.
+	failNoProof
 	// failAway says that the host does not lend.
 	failAway
 )
@@ -51,6 +53,7 @@
 	// UntilMS is how long the call may wait, AnswerMS how long it may take.
 	UntilMS, AnswerMS int64
 	AnyState          bool
+	Proof             bool
 	Values            map[string]string
 	Shape             *shape
 	Ops               []op
@@ -64,6 +67,47 @@
 	// Handle names the transaction that the call left open, 0 for none.
 	Handle   uint64
 	Outcomes []outcome
+	Known    *known
+}
+
+// known is what the lender knows of the group; its ages are in ms.
+type known struct {
+	_                   struct{} `cbor:",toarray"`
+	Lead                replicaset.EndpointID
+	LeadTerm            uint64
+	Term, Position      uint64
+	SampleAge, ProofAge int64
+}
+
+func wireKnown(k replicaset.Knowledge) *known {
+	out := &known{
+		Lead: k.Lead, LeadTerm: uint64(k.Term), Term: uint64(k.Point.Term), Position: uint64(k.Point.Position),
+		SampleAge: -1, ProofAge: -1,
+	}
+	// A part of a millisecond makes an age older, never younger.
+	if k.SampleAge >= 0 {
+		out.SampleAge = millis(k.SampleAge) + 1
+	}
+	if k.ProofAge >= 0 {
+		out.ProofAge = millis(k.ProofAge) + 1
+	}
+	return out
+}
+
+func (k *known) knowledge() replicaset.Knowledge {
+	if k == nil {
+		return replicaset.Knowledge{SampleAge: -1, ProofAge: -1}
+	}
+	out := replicaset.Knowledge{
+		Lead: k.Lead, Term: session.Term(k.LeadTerm), Point: point(k.Term, k.Position), SampleAge: -1, ProofAge: -1,
+	}
+	if k.SampleAge >= 0 {
+		out.SampleAge = time.Duration(k.SampleAge) * time.Millisecond
+	}
+	if k.ProofAge >= 0 {
+		out.ProofAge = time.Duration(k.ProofAge) * time.Millisecond
+	}
+	return out
 }
 
 type shape struct {
@@ -120,7 +164,7 @@
 func wireRequest(g session.Group, id replicaset.EndpointID, handle uint64, c engine.Call) request {
 	q := request{
 		Verb: verbRun, Handle: handle, Class: c.Class, UntilMS: millis(time.Until(c.Until)),
-		AnswerMS: max(millis(time.Until(c.Deadline)), 1), AnyState: c.AnyState, Values: c.Want.Values, Ops: wireOps(c.Ops),
+		AnswerMS: max(millis(time.Until(c.Deadline)), 1), AnyState: c.AnyState, Proof: c.Proof, Values: c.Want.Values, Ops: wireOps(c.Ops),
 	}
 	if handle == 0 {
 		q.Group, q.Endpoint = g, id
@@ -136,7 +180,7 @@
 	now := time.Now()
 	c := engine.Call{
 		Until: now.Add(time.Duration(q.UntilMS) * time.Millisecond), Deadline: now.Add(time.Duration(q.AnswerMS) * time.Millisecond),
-		Class: q.Class, AnyState: q.AnyState, Want: engine.Want{Values: q.Values}, Ops: make([]engine.Op, len(q.Ops)),
+		Class: q.Class, AnyState: q.AnyState, Proof: q.Proof, Want: engine.Want{Values: q.Values}, Ops: make([]engine.Op, len(q.Ops)),
 	}
 	if q.Shape != nil {
 		c.Want.Shape = &engine.Shape{Writes: q.Shape.Writes, Text: q.Shape.Text}
--- /dev/null
+++ b/internal/replicaset/knowledge_test.go
@@ -0,0 +1,49 @@
+package replicaset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// TestLearned answers the load of many hosts with few statements each: what one
+// knows serves the others, and is never taken for younger than it is.
+func TestLearned(t *testing.T) {
+	teller, s := testSet(), testSet()
+	teller.Sample("p", at(1000), point(1, 20))
+	teller.Prove(Lead{ID: "p", Term: 1}, at(1100))
+	s.Learned(at(5000), teller.Known(at(1300)))
+	if _, ok := s.Need(at(5000), 299*time.Millisecond, session.Point{}); ok {
+		t.Error("a position that was 300 ms old when it was told serves a read of at most 299 ms")
+	}
+	if got, ok := s.Need(at(5000), 300*time.Millisecond, session.Point{}); !ok || got != point(1, 20) {
+		t.Errorf("the position that was told gives %s, %t", got, ok)
+	}
+	if !s.Proved(at(5000), 200*time.Millisecond) || s.Proved(at(5000), 199*time.Millisecond) {
+		t.Error("the proof that was told has not the age that it had")
+	}
+}
+
+func TestLearnedOfAnotherLead(t *testing.T) {
+	teller, s := testSet(), testSet()
+	teller.Sample("p", at(1000), point(1, 20))
+	teller.Prove(Lead{ID: "p", Term: 1}, at(1000))
+	k := teller.Known(at(1000))
+	s.SetLead(Lead{ID: "a", Term: 2, Version: 2})
+	s.Learned(at(5000), k)
+	if s.Proved(at(5000), time.Minute) {
+		t.Error("a proof for the old primary counts for the new one")
+	}
+	if _, ok := s.Need(at(5000), time.Minute, session.Point{}); ok {
+		t.Error("a position of the old primary counts for the new one")
+	}
+	s.SetLead(Lead{ID: "p", Term: 1, Switching: true, Version: 3})
+	s.Learned(at(5000), k)
+	if s.Proved(at(5000), time.Minute) {
+		t.Error("a proof counts while the group is switching")
+	}
+	if k := s.Known(at(5000)); k.ProofAge >= 0 || k.SampleAge >= 0 {
+		t.Errorf("a host that knows of a switch tells %+v", k)
+	}
+}
