Refused at once when all members are busy; holders ask suspected primaries first; links open ahead

A read now waits its turn at the last promising member, up to its deadline, and is refused at once when that one has no place in time. Hosts suspect in the order in which they see a primary's work; one that answered is left alone for 500 ms. Links to lenders open before they are needed. Ruled out: slow lenders (their processor is at 0.05 of a core at most).

--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -29,11 +29,12 @@
 	p.usedAt = now
 }
 
-// wanted reports whether the pool's connections were in demand lately.
+// wanted reports whether the pool's connections were in demand lately, or not
+// yet: the first to come finds what it needs.
 func (p *pool) wanted(now replicaset.Instant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.usedAt != 0 && now.Sub(p.usedAt) < demandTime
+	return p.usedAt == 0 || now.Sub(p.usedAt) < demandTime
 }
 
 // keepFresh learns what those who borrow from this host need, and opens
@@ -46,7 +47,11 @@
 	wanted := false
 	for _, m := range g.Members() {
 		lenders, holders := e.Lenders(m, g.maxConnections())
-		if holders == 0 || !slices.Contains(lenders[:holders], "") {
+		if holders == 0 {
+			continue
+		}
+		if !slices.Contains(lenders[:holders], "") {
+			e.Warm(lenders[0])
 			continue
 		}
 		p := e.pool(g, m)
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -79,7 +79,7 @@
 		}
 		lead = g.Lead()
 	}
-	others := g.ReadOrder(e.Boot(), session.Point{}, map[replicaset.EndpointID]bool{lead.ID: true})
+	others, _ := g.ReadOrder(e.Boot(), session.Point{}, map[replicaset.EndpointID]bool{lead.ID: true})
 	if len(others) == 0 && len(g.Members()) == 1 {
 		g.Prove(lead, e.Boot())
 		return nil
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -158,32 +158,38 @@
 }
 
 // staleRead runs a read that accepts some age at the best member that has what
-// the read needs.
+// the read needs. Where all that have it are too busy, it is refused at once: it
+// waits at the one that is expected to serve it, not from try to try.
 func (s *CallerSession) staleRead(g *group, w work, deadline time.Time) Outcome {
 	last := Outcome{Code: Busy, Reason: "no endpoint can serve the read"}
 	tried := make(map[replicaset.EndpointID]bool)
 	began := s.e.Boot()
+	busy := false
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		need, ok := s.need(g, began, s.route)
 		if !ok {
 			return s.latestRead(g, w, deadline)
 		}
-		order := g.ReadOrder(s.e.Boot(), need, tried)
+		order, promising := g.ReadOrder(s.e.Boot(), need, tried)
 		if len(order) == 0 {
+			if busy {
+				break
+			}
 			clear(tried)
 			s.pause(g, deadline)
 			continue
 		}
 		m := order[0]
 		tried[m.ID] = true
-		a := s.readAttempt(g, m, deadline, len(order) > 1)
+		a := s.readAttempt(g, m, deadline, promising > 1)
 		a.after = need
 		o, _, err := s.at(a, w)
 		if err == nil && !o.Code.notRun() && o.Code != Failed {
 			return o
 		}
 		s.retried(w, m, o, err)
-		if err == nil {
+		busy = busy || errors.Is(err, errOverloaded) || err == nil && o.Code == Busy
+		if err == nil || busy {
 			last = o
 		}
 	}
@@ -280,6 +286,9 @@
 		}
 		last = o
 		s.retried(w, m, o, err)
+		if errors.Is(err, errOverloaded) {
+			break
+		}
 		s.pause(g, deadline)
 	}
 	return s.giveUp(w, last)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -27,9 +28,13 @@
 	last := Outcome{Code: Busy, Reason: "no endpoint can serve the transaction"}
 	tried := make(map[replicaset.EndpointID]bool)
 	began := s.e.Boot()
+	busy := false
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		a, lead, ok := s.place(g, tried, began, deadline)
 		if !ok {
+			if busy {
+				break
+			}
 			clear(tried)
 			s.pause(g, deadline)
 			continue
@@ -40,6 +45,11 @@
 			return o
 		}
 		s.retried(w, a.member, o, err)
+		busy = busy || errors.Is(err, errOverloaded)
+		if busy && !s.tx.readOnly {
+			last = o
+			break
+		}
 		if err == nil {
 			last = o
 		}
@@ -58,11 +68,11 @@
 		need, known = s.need(g, began, r)
 	}
 	if s.tx.readOnly && known {
-		order := g.ReadOrder(s.e.Boot(), need, tried)
+		order, promising := g.ReadOrder(s.e.Boot(), need, tried)
 		if len(order) == 0 {
 			return attempt{}, replicaset.Lead{}, false
 		}
-		a := s.readAttempt(g, order[0], deadline, len(order) > 1)
+		a := s.readAttempt(g, order[0], deadline, promising > 1)
 		a.after = need
 		return a, replicaset.Lead{}, true
 	}
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -30,6 +30,12 @@
 	staggerHost = 20 * time.Millisecond
 	// maxStagger bounds the spread.
 	maxStagger = 400 * time.Millisecond
+	// rankStep is the head start of a host over the next one where hosts have
+	// ranks, and lastRank the rank of those who have none.
+	rankStep = 60 * time.Millisecond
+	lastRank = 8
+	// aliveFor is how long a primary that answered is not asked again.
+	aliveFor = 500 * time.Millisecond
 	// probeTimeout bounds one question to an endpoint.
 	probeTimeout = 400 * time.Millisecond
 	// dutyTime is the lease of the duty.
@@ -44,7 +50,12 @@
 	// Promote asks the platform to make an endpoint the primary.
 	Promote func(ctx context.Context, g session.Group, id replicaset.EndpointID, holder string, token uint64) error
 
+	// Rank tells how many hosts see more of an endpoint's work than this one does;
+	// false where no host does. It is nil where hosts have no ranks.
+	Rank func(m replicaset.Member, maxConnections int) (rank int, ok bool)
+
 	mu      sync.Mutex
+	alive   map[session.Group]replicaset.Instant
 	running map[session.Group]bool
 	quiet   map[session.Group]quiet
 	duty    Duty
@@ -163,6 +174,8 @@
 		return reasonGone
 	case member.Draining && hasSuccessor(set, lead.ID):
 		return reasonDraining
+	case m.answered(set.Name):
+		return ""
 	case silent != 0 && now.Sub(silent) >= suspectAfter:
 		return reasonSilent
 	case stuck != 0 && now.Sub(stuck) >= stuckAfter:
@@ -199,10 +212,10 @@
 
 // handle confirms a suspicion and switches.
 func (m *Manager) handle(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) {
-	if !sleep(ctx, m.stagger()) {
+	if !sleep(ctx, m.stagger(set, lead)) {
 		return
 	}
-	if set.Lead().Version != lead.Version {
+	if set.Lead().Version != lead.Version || m.suspicion(set, lead) == "" {
 		return
 	}
 	switch reason {
@@ -220,11 +233,25 @@
 	}
 }
 
-func (m *Manager) stagger() time.Duration {
+// stagger is how long this host leaves a suspicion to others. Those who hold the
+// primary's connections see all of its work and go first: an endpoint that is
+// merely slow must not be asked by every host.
+func (m *Manager) stagger(set *replicaset.Set, lead replicaset.Lead) time.Duration {
 	m.mu.Lock()
 	spread := min(time.Duration(m.hosts+1)*staggerHost, maxStagger)
 	m.mu.Unlock()
-	return rand.N(spread)
+	member, known := set.Member(lead.ID)
+	if m.Rank == nil || !known {
+		return rand.N(spread)
+	}
+	rank, ok := m.Rank(member, m.Engine.Policy(set.Name).MaxConnections)
+	switch {
+	case !ok:
+		return rand.N(spread)
+	case rank < lastRank:
+		return time.Duration(rank)*rankStep + rand.N(staggerHost)
+	}
+	return lastRank*rankStep + rand.N(3*maxStagger)
 }
 
 // unheard surveys a group until the primary answers again or its replicas have
@@ -240,9 +267,10 @@
 		switch {
 		case len(v.received) == 0:
 			return false
-		case v.primary && reason != reasonStuck, reason == reasonStuck && stuck == 0:
+		case v.primary && reason != reasonStuck, v.primary && !v.behind():
+			m.answers(set.Name)
 			return false
-		case v.primary && !v.behind():
+		case reason == reasonStuck && stuck == 0:
 			return false
 		case reason == reasonSilent && silent == 0:
 			return false
@@ -259,6 +287,24 @@
 	return false
 }
 
+// answers notes that a suspected primary answers.
+func (m *Manager) answers(g session.Group) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.alive == nil {
+		m.alive = make(map[session.Group]replicaset.Instant)
+	}
+	m.alive[g] = m.Engine.Boot()
+}
+
+// answered reports whether a suspected primary answered a moment ago.
+func (m *Manager) answered(g session.Group) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.alive[g]
+	return ok && m.Engine.Boot().Sub(at) < aliveFor
+}
+
 // quietFor returns how long no replica has received anything.
 func (m *Manager) quietFor(set *replicaset.Set, lead replicaset.Lead, v view) time.Duration {
 	m.mu.Lock()
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -25,6 +25,8 @@
 	pingTimeout = 800 * time.Millisecond
 	// answerMargin is what a call may take beyond what the lender was given.
 	answerMargin = 150 * time.Millisecond
+	// warmLinks bounds the links that are opened ahead of demand.
+	warmLinks = 64
 	// linkIdle closes links that nobody used.
 	linkIdle = time.Minute
 )
@@ -100,6 +102,22 @@
 	return errLinkBroken
 }
 
+// Warm opens the link to a lender ahead of demand, up to warmLinks of them.
+func (b *Borrower) Warm(address string) {
+	b.mu.Lock()
+	_, ok := b.links[address]
+	n := len(b.links)
+	b.mu.Unlock()
+	if !ok && n < warmLinks {
+		go func() {
+			if _, err := b.link(address); err != nil {
+				// The host is passed over for a while, and was told of by Down.
+				return
+			}
+		}()
+	}
+}
+
 // Return ends a transaction that a call left open.
 func (b *Borrower) Return(address string, handle uint64) {
 	b.mu.Lock()
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// TestRank answers the load of an endpoint that is merely slow: few hosts ask it
+// whether it lives, those that hold its connections first.
+func TestRank(t *testing.T) {
+	ranks := make(map[int]int)
+	for _, self := range []string{"h1", "h2", "h3"} {
+		rank, ok := testRing(self).Rank(replicaset.Member{ID: "x", Zone: "a"}, 3)
+		if !ok {
+			t.Fatalf("%s has no rank", self)
+		}
+		ranks[rank]++
+	}
+	if ranks[0] != 2 || ranks[2] != 1 {
+		t.Errorf("the ranks in the zone are %v, want two holders at the head and one host after them", ranks)
+	}
+	if rank, ok := testRing("h4").Rank(replicaset.Member{ID: "x", Zone: "a"}, 3); !ok || rank < 1000 {
+		t.Errorf("a host of another zone has rank %d, want it last", rank)
+	}
+	if _, ok := testRing("h1").Rank(replicaset.Member{ID: "x", Zone: "a"}, 9); ok {
+		t.Error("hosts that keep their own connections have ranks")
+	}
+}
+
 func TestScarce(t *testing.T) {
 	tests := []struct {
 		connections, hosts int
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -98,6 +99,19 @@
 	return addresses, holders
 }
 
+// Rank returns how many hosts come before this one for an endpoint: those that
+// hold its connections first. It reports false where each host holds its own.
+func (r *Ring) Rank(m replicaset.Member, maxConnections int) (rank int, ok bool) {
+	addresses, holders := r.Lenders(m, maxConnections)
+	if holders == 0 {
+		return 0, false
+	}
+	if i := slices.Index(addresses, ""); i >= 0 {
+		return i, true
+	}
+	return math.MaxInt, true
+}
+
 // scarce reports whether connections are lent: where not each host can have one,
 // or where many hosts would have too few for their transactions.
 func scarce(maxConnections, hosts int) bool {
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -83,8 +83,9 @@
 
 // ReadOrder returns the members that may serve a read, the best first: by
 // expected wait, with a penalty for other zones and for the primary. Members
-// that broke lately or that drain come last.
-func (s *Set) ReadOrder(now Instant, need session.Point, tried map[EndpointID]bool) []Member {
+// that broke lately, that lacked what the read needs, or that drain come last;
+// promising is the number of the others.
+func (s *Set) ReadOrder(now Instant, need session.Point, tried map[EndpointID]bool) (order []Member, promising int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	type choice struct {
@@ -104,11 +105,14 @@
 		}
 		return all[i].m.ID < all[j].m.ID
 	})
-	out := make([]Member, len(all))
+	order = make([]Member, len(all))
 	for i, c := range all {
-		out[i] = c.m
+		order[i] = c.m
+		if c.cost < behindPenalty {
+			promising = i + 1
+		}
 	}
-	return out
+	return order, promising
 }
 
 // leaving reports whether a member may get no new work: it leaves, and others
