A replica that lags takes over from a primary that has too much; false switches out

Such a replica has received all; as the primary it is not late, and the old primary becomes a replica that is not late either. The host that sees the overload for a second and finds a lag over 5 s orders a planned switch. Found on the way, each with a test that was red first: a host kept the duty for five seconds when it was looking at another group as well; a host that was cut off from the store replaced a primary that had just been promoted, since it met the newer record only when it claimed. Ruled out: more connections or slots in use than the endpoint has (it shed nothing).

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -140,9 +140,13 @@
 	now := e.Boot()
 	e.noteCommit(g, call, out, err)
 	if err != nil {
-		if notTried(err) {
+		switch {
+		case errors.Is(err, errOverloaded):
 			g.Skipped(now, m.ID)
-		} else {
+			g.Overloaded(now, m.ID)
+		case notTried(err):
+			g.Skipped(now, m.ID)
+		default:
 			g.Ended(now, m.ID, now.Sub(sentAt), false, session.Point{})
 		}
 		return out, err
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -56,6 +56,8 @@
 	Code     Code
 	Reason   string
 	Age      time.Duration
+	// Failover marks the decisions about primaries.
+	Failover bool
 }
 
 // group is one database group with the connections to its members.
--- a/internal/engine/fresh_test.go
+++ b/internal/engine/fresh_test.go
@@ -16,7 +16,7 @@
 	e := reporters(now, map[replicaset.EndpointID]*replicaset.Status{"old": &lead, "next": &follows, "third": &follows})
 	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{""}, 1 }
 	e.Apply(&Declared{Version: 1, Groups: map[session.Group]GroupPolicy{"g": {MaxConnections: 9, Synchronous: true}}})
-	e.Group("g").SetLead(replicaset.Lead{ID: "old", Term: 1, Version: 1})
+	e.Group("g").SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 1})
 	return e
 }
 
@@ -84,7 +84,7 @@
 	if _, err := e.Lend("g", "next", call); !errors.Is(err, ErrNoProof) {
 		t.Errorf("a replica is lent as the primary: %v", err)
 	}
-	e.Group("g").SetLead(replicaset.Lead{ID: "old", Term: 1, Switching: true, Version: 2})
+	e.Group("g").SetLead(1, replicaset.Lead{ID: "old", Term: 1, Switching: true, Version: 2})
 	if _, err := e.Lend("g", "old", call); !errors.Is(err, ErrNoProof) {
 		t.Errorf("a primary that is being replaced is lent: %v", err)
 	}
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -71,7 +71,7 @@
 			e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &tt.old, "next": &tt.next, "third": &tt.third})
 			g := e.group("g")
 			if tt.recordedTerm != 0 {
-				g.SetLead(replicaset.Lead{ID: "old", Term: tt.recordedTerm, Version: 7, Switching: tt.switchingRecorded})
+				g.SetLead(1, replicaset.Lead{ID: "old", Term: tt.recordedTerm, Version: 7, Switching: tt.switchingRecorded})
 			}
 			if err := e.prove(g, g.Lead(), now); (err == nil) != tt.proved {
 				t.Fatalf("prove gives %v, want proved %t", err, tt.proved)
@@ -88,7 +88,7 @@
 	primary := replicaset.Status{Role: replicaset.Primary, Term: 1}
 	e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &primary, "next": &following, "third": &following})
 	g := e.group("g")
-	g.SetLead(replicaset.Lead{ID: "old", Term: 1, Version: 7})
+	g.SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 7})
 	if err := e.prove(g, g.Lead(), now); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -34,6 +34,16 @@
 	// ranks, and lastRank the rank of those who have none.
 	rankStep = 60 * time.Millisecond
 	lastRank = 8
+	// pressedAfter is how long a primary has more work than it can do before a
+	// replica that lags takes over from it.
+	pressedAfter = time.Second
+	// relieveLag is the least lag of such a replica: a switch stops writes for
+	// about a second and a half, and has to win more than that.
+	relieveLag = 5 * time.Second
+	// relieveEvery is the least time from a change of the primary to such a switch,
+	// and relieveRest that between two looks at a group.
+	relieveEvery = 8 * time.Second
+	relieveRest  = 3 * time.Second
 	// aliveFor is how long a primary that answered is not asked again.
 	aliveFor = 500 * time.Millisecond
 	// probeTimeout bounds one question to an endpoint.
@@ -56,13 +66,16 @@
 
 	mu      sync.Mutex
 	alive   map[session.Group]replicaset.Instant
+	relieve map[session.Group]replicaset.Instant
 	running map[session.Group]bool
-	quiet   map[session.Group]quiet
-	duty    Duty
-	readAt  replicaset.Instant
-	storeAt time.Duration
-	hosts   int
-	wg      sync.WaitGroup
+	// switching counts the switches of this host that hold the duty.
+	switching int
+	quiet     map[session.Group]quiet
+	duty      Duty
+	readAt    replicaset.Instant
+	storeAt   time.Duration
+	hosts     int
+	wg        sync.WaitGroup
 }
 
 // quiet is since when a group's replicas have not received anything.
@@ -157,6 +170,9 @@
 	reasonDraining = "draining"
 	reasonGone     = "gone"
 	reasonOrphaned = "orphaned"
+	// reasonPressed says that reads that replicas are too far behind for are more
+	// than the primary can serve.
+	reasonPressed = "pressed"
 )
 
 func (m *Manager) suspicion(set *replicaset.Set, lead replicaset.Lead) string {
@@ -180,6 +196,8 @@
 		return reasonSilent
 	case stuck != 0 && now.Sub(stuck) >= stuckAfter:
 		return reasonStuck
+	case set.Pressed(now) >= pressedAfter && m.mayRelieve(set):
+		return reasonPressed
 	}
 	return ""
 }
@@ -223,13 +241,17 @@
 		if !m.unheard(ctx, set, lead, reason) {
 			return
 		}
+	case reasonPressed:
+		if !m.lags(ctx, set, lead) {
+			return
+		}
 	case reasonOrphaned:
 		if m.finish(ctx, set, lead) || !m.dutyFree() {
 			return
 		}
 	}
 	if set.Lead().Version == lead.Version {
-		m.switchover(ctx, set, reason)
+		m.switchover(ctx, set, lead.Version, reason)
 	}
 }
 
@@ -329,7 +351,7 @@
 }
 
 func (m *Manager) event(g session.Group, id replicaset.EndpointID, decision, reason string) {
-	m.Engine.Event(engine.Event{Group: g, Endpoint: id, Decision: decision, Reason: reason, Age: m.Engine.Group(g).ProofAge(m.Engine.Boot())})
+	m.Engine.Event(engine.Event{Failover: true, Group: g, Endpoint: id, Decision: decision, Reason: reason, Age: m.Engine.Group(g).ProofAge(m.Engine.Boot())})
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -40,6 +40,12 @@
 	}
 }
 
+func (w *world) lag(id replicaset.EndpointID, lag time.Duration, received session.Point) {
+	st := w.reports[id]
+	st.Lag, st.Received = lag, received
+	w.reports[id] = st
+}
+
 func (w *world) answer(id replicaset.EndpointID, op engine.Op) (engine.Outcome, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -110,48 +116,57 @@
 	}, set
 }
 
+// switches are the situations in which a switch starts, and who leads then.
+var switches = []struct {
+	name     string
+	reason   string
+	change   func(w *world, set *replicaset.Set)
+	promoted replicaset.EndpointID
+	lead     replicaset.EndpointID
+}{
+	{"the furthest replica leads", reasonSilent, func(w *world, _ *replicaset.Set) { w.silent["p"] = true }, "b", "b"},
+	{"replicas that lag leave all reads to the primary", reasonPressed, func(w *world, _ *replicaset.Set) {
+		w.lag("a", 20*time.Second, at(1, 9))
+		w.lag("b", 10*time.Second, at(1, 9))
+	}, "a", "a"},
+	{"the one that lags has not received all", reasonPressed, func(w *world, _ *replicaset.Set) {
+		w.lag("a", 20*time.Second, at(1, 8))
+	}, "", "p"},
+	{"a primary that leaves", reasonDraining, func(*world, *replicaset.Set) {}, "b", "b"},
+	{"a replica does not answer and may hold more", reasonSilent, func(w *world, _ *replicaset.Set) {
+		w.silent["p"], w.silent["b"] = true, true
+	}, "", "p"},
+	{"a replica came back without its log", reasonSilent, func(w *world, set *replicaset.Set) {
+		w.silent["p"] = true
+		m, _ := set.Member("b")
+		m.Started = 2
+		set.Register(replicaset.Instant(time.Minute), m)
+	}, "", "p"},
+	{"more was acknowledged than any replica has", reasonSilent, func(w *world, set *replicaset.Set) {
+		w.silent["p"] = true
+		set.Acknowledge(at(1, 12))
+	}, "", "p"},
+	{"another host holds the duty", reasonSilent, func(w *world, _ *replicaset.Set) {
+		w.silent["p"] = true
+		w.state.Duty = Duty{Holder: "host-2", Token: 4, Until: time.Hour}
+	}, "", "p"},
+	{"the record changed meanwhile", reasonSilent, func(w *world, _ *replicaset.Set) { w.conflict = true }, "", "p"},
+	{"a promotion was not recorded", reasonOrphaned, func(w *world, set *replicaset.Set) {
+		w.reports["a"] = replicaset.Status{Role: replicaset.Primary, Term: 2, Received: at(1, 9)}
+		w.state.Leads["g"] = replicaset.Lead{ID: "p", Term: 1, Switching: true, Version: 5}
+		w.version = 5
+		set.SetLead(1, w.state.Leads["g"])
+	}, "", "a"},
+}
+
 func TestSwitchover(t *testing.T) {
-	tests := []struct {
-		name     string
-		reason   string
-		change   func(w *world, set *replicaset.Set)
-		promoted replicaset.EndpointID
-		lead     replicaset.EndpointID
-	}{
-		{"the furthest replica leads", reasonSilent, func(w *world, _ *replicaset.Set) { w.silent["p"] = true }, "b", "b"},
-		{"a primary that leaves", reasonDraining, func(*world, *replicaset.Set) {}, "b", "b"},
-		{"a replica does not answer and may hold more", reasonSilent, func(w *world, _ *replicaset.Set) {
-			w.silent["p"], w.silent["b"] = true, true
-		}, "", "p"},
-		{"a replica came back without its log", reasonSilent, func(w *world, set *replicaset.Set) {
-			w.silent["p"] = true
-			m, _ := set.Member("b")
-			m.Started = 2
-			set.Register(replicaset.Instant(time.Minute), m)
-		}, "", "p"},
-		{"more was acknowledged than any replica has", reasonSilent, func(w *world, set *replicaset.Set) {
-			w.silent["p"] = true
-			set.Acknowledge(at(1, 12))
-		}, "", "p"},
-		{"another host holds the duty", reasonSilent, func(w *world, _ *replicaset.Set) {
-			w.silent["p"] = true
-			w.state.Duty = Duty{Holder: "host-2", Token: 4, Until: time.Hour}
-		}, "", "p"},
-		{"the record changed meanwhile", reasonSilent, func(w *world, _ *replicaset.Set) { w.conflict = true }, "", "p"},
-		{"a promotion was not recorded", reasonOrphaned, func(w *world, set *replicaset.Set) {
-			w.reports["a"] = replicaset.Status{Role: replicaset.Primary, Term: 2, Received: at(1, 9)}
-			w.state.Leads["g"] = replicaset.Lead{ID: "p", Term: 1, Switching: true, Version: 5}
-			w.version = 5
-			set.SetLead(w.state.Leads["g"])
-		}, "", "a"},
-	}
-	for _, tt := range tests {
+	for _, tt := range switches {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld()
 			m, set := w.manager(t)
 			tt.change(w, set)
-			m.switchover(context.Background(), set, tt.reason)
+			m.switchover(context.Background(), set, set.Lead().Version, tt.reason)
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if tt.promoted == "" && len(w.promoted) > 0 || tt.promoted != "" && (len(w.promoted) != 1 || w.promoted[0] != tt.promoted) {
@@ -178,7 +193,7 @@
 	w.state.Duty = Duty{Holder: "host-2", Token: 7, Until: time.Second}
 	w.state.Now = time.Hour
 	m, set := w.manager(t)
-	m.switchover(context.Background(), set, reasonSilent)
+	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
 	if len(w.tokens) != 1 || w.tokens[0] != 8 {
 		t.Errorf("tokens %v were sent, want 8", w.tokens)
 	}
@@ -226,3 +241,93 @@
 		})
 	}
 }
+
+// TestPressed answers the load of replicas that apply their log many seconds late:
+// the primary has all reads of its group and more work than it can do.
+func TestPressed(t *testing.T) {
+	tests := []struct {
+		name  string
+		lag   time.Duration
+		press bool
+		want  string
+	}{
+		{"pressed, and a replica lags", 20 * time.Second, true, "a"},
+		{"pressed, and no replica lags", time.Second, true, ""},
+		{"a replica lags, and the primary has time", 20 * time.Second, false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld()
+			m, set := w.manager(t)
+			w.lag("a", tt.lag, at(1, 9))
+			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+			defer cancel()
+			done := make(chan error, 1)
+			go func() { done <- m.Run(ctx) }()
+			for ctx.Err() == nil {
+				if tt.press {
+					set.Overloaded(m.Engine.Boot(), "p")
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if err := <-done; err != nil {
+				t.Fatal(err)
+			}
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			got := ""
+			for _, id := range w.promoted {
+				got += string(id)
+			}
+			if got != tt.want {
+				t.Errorf("promoted %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestDutyIsFreed reproduces five seconds without a promotion: a host that was
+// looking at another group as well kept the duty after its switch.
+func TestDutyIsFreed(t *testing.T) {
+	w := newWorld()
+	w.silent["p"] = true
+	m, set := w.manager(t)
+	m.begin("other")
+	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	if d := w.state.Duty; d.Holder != "" {
+		t.Errorf("the duty is left as %+v, want it free", d)
+	}
+}
+
+// TestSuspicionOfAnEarlierPrimary reproduces a promotion away from a primary that
+// had just been promoted: a host that was cut off from the store suspected the old
+// one, and met the record of the new one when it claimed the duty.
+func TestSuspicionOfAnEarlierPrimary(t *testing.T) {
+	w := newWorld()
+	w.version = 9
+	w.state.Leads["g"] = replicaset.Lead{ID: "a", Term: 2, Version: 9}
+	m, set := w.manager(t)
+	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	if len(w.promoted) != 0 || w.state.Leads["g"].Switching {
+		t.Errorf("promoted %v, the record is %+v", w.promoted, w.state.Leads["g"])
+	}
+	if lead := set.Lead(); lead.ID != "a" {
+		t.Errorf("the host believes that %s leads, want what is recorded", lead.ID)
+	}
+}
+
+// TestReliefIsRare reproduces a switch that followed another one of the same
+// group at once, ordered by a host that did not order the first.
+func TestReliefIsRare(t *testing.T) {
+	w := newWorld()
+	m, set := w.manager(t)
+	set.SetLead(m.Engine.Boot(), replicaset.Lead{ID: "p", Term: 1, Version: 3})
+	if m.mayRelieve(set) {
+		t.Error("a primary that was recorded a moment ago may be relieved")
+	}
+	set.SetLead(m.Engine.Boot().Add(-relieveEvery), replicaset.Lead{ID: "a", Term: 2, Version: 4})
+	if !m.mayRelieve(set) {
+		t.Errorf("a primary may not be relieved %s after it was recorded", relieveEvery)
+	}
+}
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -31,29 +31,37 @@
 	gatherTime = 2500 * time.Millisecond
 )
 
-var errDutyHeld = errors.New("another host holds the duty")
+var (
+	errDutyHeld = errors.New("another host holds the duty")
+	errReplaced = errors.New("the group's record is newer than what was suspected")
+)
 
 // run is one switch under way.
 type run struct {
 	*Manager
-	set     *replicaset.Set
-	reason  string
-	old     replicaset.Lead
-	duty    Duty
-	claimed replicaset.Instant
+	set    *replicaset.Set
+	reason string
+	// suspected is the version of the record under which the primary was suspected.
+	suspected uint64
+	old       replicaset.Lead
+	duty      Duty
+	claimed   replicaset.Instant
 	// sent is set once a promotion may take effect: the old primary must not
 	// be trusted again then.
 	sent bool
 }
 
-// switchover replaces a group's primary.
-func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, reason string) {
-	r := &run{Manager: m, set: set, reason: reason}
+// switchover replaces a group's primary, which was suspected under a record of
+// the given version.
+func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, suspected uint64, reason string) {
+	r := &run{Manager: m, set: set, suspected: suspected, reason: reason}
 	r.learnTerm(ctx)
 	if err := r.claim(ctx); err != nil {
 		m.event(set.Name, "", "switch_not_started", err.Error())
 		return
 	}
+	m.holds(1)
+	defer m.holds(-1)
 	m.event(set.Name, r.old.ID, "switch_started", fmt.Sprintf("%s, token %d", reason, r.duty.Token))
 	next, err := r.replace(ctx)
 	if err != nil {
@@ -79,6 +87,13 @@
 	if st.Duty.Holder != "" && st.Duty.Holder != r.Self && st.Now <= st.Duty.Until+dutyMargin {
 		return errDutyHeld
 	}
+	if recorded := st.Leads[r.set.Name]; recorded.Version != r.suspected {
+		// What this host saw, it saw of an earlier primary.
+		if recorded.Version != 0 {
+			r.set.SetLead(r.Engine.Boot(), recorded)
+		}
+		return errReplaced
+	}
 	d := st.Duty
 	if d.Holder != r.Self || st.Now > d.Until {
 		d.Token++
@@ -97,7 +112,7 @@
 	d.Version, lead.Version = version, version
 	r.duty, r.claimed = d, before
 	r.Observe(d, st.Now, before)
-	r.set.SetLead(lead)
+	r.set.SetLead(r.Engine.Boot(), lead)
 	return nil
 }
 
@@ -132,6 +147,9 @@
 	}
 	paused := r.Engine.Boot()
 	candidate, ok := r.furthest(reports)
+	if r.reason == reasonPressed {
+		candidate, ok = r.laggard(reports)
+	}
 	if !ok {
 		return replicaset.Lead{}, errors.New("no replica can lead")
 	}
@@ -312,7 +330,7 @@
 
 func (r *run) record(ctx context.Context, st State, lead replicaset.Lead) error {
 	d := st.Duty
-	if d.Holder == r.Self && !r.othersRunning() {
+	if d.Holder == r.Self && !r.othersSwitch() {
 		d.Holder, d.Until = "", 0
 	}
 	lead.Switching, lead.Token, lead.Holder = false, r.duty.Token, ""
@@ -323,15 +341,22 @@
 	}
 	lead.Version, d.Version = version, version
 	r.Observe(d, st.Now, r.Engine.Boot())
-	r.set.SetLead(lead)
+	r.set.SetLead(r.Engine.Boot(), lead)
 	return nil
 }
 
-// othersRunning reports whether this host switches another group as well.
-func (r *run) othersRunning() bool {
+// holds counts the switches of this host that hold the duty.
+func (m *Manager) holds(change int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.switching += change
+}
+
+// othersSwitch reports whether this host switches another group as well.
+func (r *run) othersSwitch() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.running) > 1
+	return r.switching > 1
 }
 
 // tidy tells the old primary that it lost the lead, which it also finds out by
--- a/internal/replicaset/knowledge_test.go
+++ b/internal/replicaset/knowledge_test.go
@@ -30,7 +30,7 @@
 	teller.Sample("p", at(1000), point(1, 20))
 	teller.Prove(Lead{ID: "p", Term: 1}, at(1000))
 	k := teller.Known(at(1000))
-	s.SetLead(Lead{ID: "a", Term: 2, Version: 2})
+	s.SetLead(at(1), Lead{ID: "a", Term: 2, Version: 2})
 	s.Learned(at(5000), k)
 	if s.Proved(at(5000), time.Minute) {
 		t.Error("a proof for the old primary counts for the new one")
@@ -38,7 +38,7 @@
 	if _, ok := s.Need(at(5000), time.Minute, session.Point{}); ok {
 		t.Error("a position of the old primary counts for the new one")
 	}
-	s.SetLead(Lead{ID: "p", Term: 1, Switching: true, Version: 3})
+	s.SetLead(at(1), Lead{ID: "p", Term: 1, Switching: true, Version: 3})
 	s.Learned(at(5000), k)
 	if s.Proved(at(5000), time.Minute) {
 		t.Error("a proof counts while the group is switching")
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -32,6 +32,9 @@
 	// busy, and busyPenalty the wait that is expected there.
 	busyFor     = 50 * time.Millisecond
 	busyPenalty = 150 * time.Millisecond
+	// pressedGap is the longest pause between two refusals that are held to be of
+	// one overload.
+	pressedGap = 250 * time.Millisecond
 	// primaryPenalty keeps reads away from the primary, which alone can write.
 	primaryPenalty = 8 * time.Millisecond
 )
@@ -192,10 +195,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m, ok := s.members[id]; ok {
+		if now.Sub(m.pressedAt) > pressedGap {
+			m.pressedFrom = now
+		}
+		m.pressedAt = now
 		m.busyUntil = now.Add(busyFor)
 	}
 }
 
+// Pressed returns for how long the primary has had more work than it can do.
+func (s *Set) Pressed(now Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[s.lead.ID]
+	if !ok || m.pressedAt == 0 || now.Sub(m.pressedAt) > pressedGap {
+		return 0
+	}
+	return m.pressedAt.Sub(m.pressedFrom)
+}
+
 // Behind notes that a member lacked a position that a read needs.
 func (s *Set) Behind(now Instant, id EndpointID, need session.Point) {
 	s.mu.Lock()
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -43,6 +43,8 @@
 	behindUntil Instant
 	behindFor   time.Duration
 	busyUntil   Instant
+	// pressedFrom and pressedAt are the first and the last refusal of an overload.
+	pressedFrom, pressedAt Instant
 	// answeredAt is when the member last answered anything.
 	answeredAt Instant
 	// waitingSince is since when a statement waits and nothing was answered.
@@ -63,6 +65,8 @@
 	mu      sync.Mutex
 	members map[EndpointID]*state
 	lead    Lead
+	// ledFrom is when this host learned of the last change of the primary.
+	ledFrom Instant
 	samples []sample
 	// acked is how far this host acknowledged commits.
 	acked session.Point
@@ -182,7 +186,7 @@
 }
 
 // SetLead takes a recorded leadership. Older records are ignored.
-func (s *Set) SetLead(l Lead) bool {
+func (s *Set) SetLead(now Instant, l Lead) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l.Version <= s.lead.Version {
@@ -191,12 +195,21 @@
 	if l.ID != s.lead.ID || l.Term != s.lead.Term {
 		s.samples, s.stuckSince, s.provedAt = nil, 0, 0
 		s.lost = nil
+		s.ledFrom = now
 	}
 	s.lead = l
 	s.notify()
 	return true
 }
 
+// LedFor returns how long ago this host learned of the last change of the
+// primary that was recorded; false if it knows of none.
+func (s *Set) LedFor(now Instant) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.ledFrom), s.ledFrom != 0
+}
+
 // Learn takes what members say of themselves while no promotion is recorded.
 func (s *Set) Learn(l Lead) {
 	s.mu.Lock()
--- a/internal/replicaset/set_test.go
+++ b/internal/replicaset/set_test.go
@@ -26,7 +26,7 @@
 		m.ID, m.Group, m.Address, m.Slots, m.Started = id, "g", string(id), 2, 1
 		s.Register(0, m)
 	}
-	s.SetLead(Lead{ID: "p", Term: 1, Version: 1})
+	s.SetLead(at(1), Lead{ID: "p", Term: 1, Version: 1})
 	return s
 }
 
@@ -235,7 +235,7 @@
 		{"another primary was recorded since", func(s *Set) {
 			s.Deregister(at(1000), "b")
 			s.Expire(at(1000).Add(removalGrace))
-			s.SetLead(Lead{ID: "a", Term: 2, Version: 2})
+			s.SetLead(at(1), Lead{ID: "a", Term: 2, Version: 2})
 		}, 0},
 	}
 	for _, tt := range tests {
@@ -251,8 +251,8 @@
 
 func TestLeadNeverGoesBack(t *testing.T) {
 	s := testSet()
-	s.SetLead(Lead{ID: "a", Term: 2, Version: 9})
-	if s.SetLead(Lead{ID: "p", Term: 1, Version: 8}) || s.Lead().ID != "a" {
+	s.SetLead(at(1), Lead{ID: "a", Term: 2, Version: 9})
+	if s.SetLead(at(1), Lead{ID: "p", Term: 1, Version: 8}) || s.Lead().ID != "a" {
 		t.Error("an older record replaced a newer one")
 	}
 	s.Sample("p", at(1), point(1, 99))
