The duty is given back as soon as a promotion is ordered

After the order is answered no further one is sent under its token, so the duty is free for the next group; the group's record names the host that finishes, and until when. Ruled out: one duty for each group (tokens would come out of order).

--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -178,7 +178,7 @@
 func (m *Manager) suspicion(set *replicaset.Set, lead replicaset.Lead) string {
 	now := m.Engine.Boot()
 	if lead.Switching {
-		if m.dutyFree() || promotedElsewhere(set, lead) {
+		if m.abandoned(lead) || promotedElsewhere(set, lead) {
 			return reasonOrphaned
 		}
 		return ""
@@ -221,6 +221,13 @@
 	return false
 }
 
+// abandoned reports whether the host that switches a group has taken too long.
+func (m *Manager) abandoned(lead replicaset.Lead) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.storeNow() > lead.Until+dutyMargin
+}
+
 // dutyFree reports whether nobody holds the duty, or nobody but this host.
 func (m *Manager) dutyFree() bool {
 	m.mu.Lock()
@@ -246,7 +253,7 @@
 			return
 		}
 	case reasonOrphaned:
-		if m.finish(ctx, set, lead) || !m.dutyFree() {
+		if m.finish(ctx, set, lead) || !m.abandoned(lead) || !m.dutyFree() {
 			return
 		}
 	}
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -22,6 +22,7 @@
 	state    State
 	version  uint64
 	conflict bool
+	changes  []Change
 }
 
 func at(t, n int) session.Point {
@@ -85,12 +86,16 @@
 func (w *world) write(_ context.Context, c Change) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.conflict || c.Duty.Version != w.state.Duty.Version || c.Lead.Version != w.state.Leads[c.Group].Version {
+	if w.conflict || !c.KeepDuty && c.Duty.Version != w.state.Duty.Version || c.Lead.Version != w.state.Leads[c.Group].Version {
 		return 0, ErrConflict
 	}
 	w.version++
 	c.Duty.Version, c.Lead.Version = w.version, w.version
-	w.state.Duty, w.state.Leads[c.Group] = c.Duty, c.Lead
+	if !c.KeepDuty {
+		w.state.Duty = c.Duty
+	}
+	w.state.Leads[c.Group] = c.Lead
+	w.changes = append(w.changes, c)
 	return w.version, nil
 }
 
@@ -287,6 +292,42 @@
 	}
 }
 
+// TestDutyIsShort answers the load of several primaries that fail at once: the
+// duty is free for the next group as soon as the promotion was ordered, and not
+// only when all proofs of the old primary are over.
+func TestDutyIsShort(t *testing.T) {
+	w := newWorld()
+	w.silent["p"] = true
+	m, set := w.manager(t)
+	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	if len(w.changes) != 3 {
+		t.Fatalf("%d changes were written, want the claim, the end of the duty and the end of the switch", len(w.changes))
+	}
+	if c := w.changes[1]; c.Duty.Holder != "" || !c.Lead.Switching {
+		t.Errorf("the second change is %+v, want the duty free and the group switching", c)
+	}
+	if c := w.changes[2]; !c.KeepDuty || c.Lead.Switching || c.Lead.ID != "b" {
+		t.Errorf("the last change is %+v, want the end of the switch alone", c)
+	}
+}
+
+// TestSwitchIsNotTakenOver checks that a switch whose duty is free already is left
+// to its host until its time is over.
+func TestSwitchIsNotTakenOver(t *testing.T) {
+	w := newWorld()
+	m, set := w.manager(t)
+	lead := replicaset.Lead{ID: "p", Term: 1, Switching: true, Holder: "host-2", Until: 10 * time.Second, Version: 5}
+	set.SetLead(m.Engine.Boot(), lead)
+	m.Observe(Duty{}, 10*time.Second, m.Engine.Boot())
+	if got := m.suspicion(set, lead); got != "" {
+		t.Errorf("a switch under way is taken for %q", got)
+	}
+	m.Observe(Duty{}, 10*time.Second+dutyMargin+time.Second, m.Engine.Boot())
+	if got := m.suspicion(set, lead); got != reasonOrphaned {
+		t.Errorf("a switch whose time is over is taken for %q, want %q", got, reasonOrphaned)
+	}
+}
+
 // TestDutyIsFreed reproduces five seconds without a promotion: a host that was
 // looking at another group as well kept the duty after its switch.
 func TestDutyIsFreed(t *testing.T) {
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -30,12 +30,13 @@
 	Now time.Duration
 }
 
-// Change replaces the duty and, if Group is set, a group's leadership; both
-// must still have the versions that they name.
+// Change replaces a group's leadership and, unless it is kept, the duty; both must
+// still have the versions that they name.
 type Change struct {
-	Duty  Duty
-	Group session.Group
-	Lead  replicaset.Lead
+	Duty     Duty
+	KeepDuty bool
+	Group    session.Group
+	Lead     replicaset.Lead
 }
 
 // Records are the operations on the store. They are safe for concurrent use.
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -46,6 +46,8 @@
 	old       replicaset.Lead
 	duty      Duty
 	claimed   replicaset.Instant
+	// recorded is the group's record as this host wrote it last.
+	recorded replicaset.Lead
 	// sent is set once a promotion may take effect: the old primary must not
 	// be trusted again then.
 	sent bool
@@ -104,13 +106,13 @@
 		r.old.ID, r.old.Term = known.ID, known.Term
 	}
 	lead := r.old
-	lead.Switching, lead.Token, lead.Holder = true, d.Token, r.Self
+	lead.Switching, lead.Token, lead.Holder, lead.Until = true, d.Token, r.Self, st.Now+dutyTime
 	version, err := r.Records.Write(ctx, Change{Duty: d, Group: r.set.Name, Lead: lead})
 	if err != nil {
 		return fmt.Errorf("record the switch: %w", err)
 	}
 	d.Version, lead.Version = version, version
-	r.duty, r.claimed = d, before
+	r.duty, r.claimed, r.recorded = d, before, lead
 	r.Observe(d, st.Now, before)
 	r.set.SetLead(r.Engine.Boot(), lead)
 	return nil
@@ -185,7 +187,7 @@
 	}
 	st, err := r.Records.Read(ctx)
 	if err == nil {
-		r.duty = st.Duty
+		r.duty = Duty{Token: lead.Token}
 		err = r.record(ctx, st, next)
 	}
 	if err != nil {
@@ -285,6 +287,7 @@
 		cancel()
 		r.event(r.set.Name, id, "promote_sent", fmt.Sprintf("token %d, result %v", r.duty.Token, last))
 		if last == nil {
+			r.freeDuty(ctx)
 			return r.awaitEffect(ctx, member, before)
 		}
 		if !sleep(ctx, pollEvery) {
@@ -294,6 +297,23 @@
 	return replicaset.Lead{}, fmt.Errorf("promote %s: %w", id, last)
 }
 
+// freeDuty lets other groups be switched while this switch runs to its end: no
+// further promotion is sent under this token. The group's record stays.
+func (r *run) freeDuty(ctx context.Context) {
+	if r.othersSwitch() {
+		return
+	}
+	d := r.duty
+	d.Holder, d.Until = "", 0
+	version, err := r.Records.Write(ctx, Change{Duty: d, Group: r.set.Name, Lead: r.recorded})
+	if err != nil {
+		r.event(r.set.Name, "", "duty_kept", err.Error())
+		return
+	}
+	r.duty.Version, r.recorded.Version = version, version
+	r.set.SetLead(r.Engine.Boot(), r.recorded)
+}
+
 func (r *run) awaitEffect(ctx context.Context, member replicaset.Member, before replicaset.Status) (replicaset.Lead, error) {
 	began := r.Engine.Boot()
 	for r.Engine.Boot().Sub(began) < effectTimeout {
@@ -312,7 +332,7 @@
 func (r *run) settle(ctx context.Context, lead replicaset.Lead) {
 	for r.leaseLeft() > 0 {
 		st, err := r.Records.Read(ctx)
-		if err == nil && (st.Duty.Holder != r.Self || st.Duty.Token != r.duty.Token) {
+		if rec := st.Leads[r.set.Name]; err == nil && (!rec.Switching || rec.Holder != r.Self || rec.Token != r.duty.Token) {
 			return
 		}
 		if err == nil {
@@ -330,17 +350,21 @@
 
 func (r *run) record(ctx context.Context, st State, lead replicaset.Lead) error {
 	d := st.Duty
-	if d.Holder == r.Self && !r.othersSwitch() {
+	mine := d.Holder == r.Self && d.Token == r.duty.Token && !r.othersSwitch()
+	if mine {
 		d.Holder, d.Until = "", 0
 	}
-	lead.Switching, lead.Token, lead.Holder = false, r.duty.Token, ""
+	lead.Switching, lead.Token, lead.Holder, lead.Until = false, r.duty.Token, "", 0
 	lead.Version = st.Leads[r.set.Name].Version
-	version, err := r.Records.Write(ctx, Change{Duty: d, Group: r.set.Name, Lead: lead})
+	version, err := r.Records.Write(ctx, Change{Duty: d, KeepDuty: !mine, Group: r.set.Name, Lead: lead})
 	if err != nil {
 		return err
 	}
-	lead.Version, d.Version = version, version
-	r.Observe(d, st.Now, r.Engine.Boot())
+	lead.Version = version
+	if mine {
+		d.Version = version
+		r.Observe(d, st.Now, r.Engine.Boot())
+	}
 	r.set.SetLead(r.Engine.Boot(), lead)
 	return nil
 }
--- a/internal/replicaset/member.go
+++ b/internal/replicaset/member.go
@@ -72,8 +72,10 @@
 	Switching bool
 	// Token is the fencing token of the last promotion.
 	Token uint64
-	// Holder is the host that switches.
+	// Holder is the host that switches, and Until when it is given up on, on the
+	// store's clock.
 	Holder string
+	Until  time.Duration
 	// Version is the version of the record, 0 without one.
 	Version uint64
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -31,6 +31,9 @@
 	maxAge           = 1500 * time.Millisecond
 	// idleLimit ends transactions that rest for longer.
 	idleLimit = 2 * time.Second
+	// hostNet is the first of hostNets loopback networks, one for each soak on a
+	// machine, in which hosts get addresses of their own.
+	hostNet, hostNets = 64, 60
 	// tickEvery is how often endpoints follow their primary and register.
 	tickEvery = 100 * time.Millisecond
 )
@@ -190,7 +193,8 @@
 	if p.order, err = newProxy(w.store.Address, p.name); err != nil {
 		return err
 	}
-	addresses, err := freeAddresses(3)
+	ip := fmt.Sprintf("127.%d.%d.1", hostNet+os.Getpid()%hostNets, i+1)
+	addresses, err := freeAddresses(ip, 3)
 	if err != nil {
 		return err
 	}
@@ -198,7 +202,7 @@
 	_, port, _ := net.SplitHostPort(addresses[2])
 	settings := map[string]any{
 		"host_id": p.name, "zone": fmt.Sprintf("zone-%d", i%zones), "caller_listen": addresses[0], "ready_listen": addresses[1],
-		"bind_ip": "127.0.0.1", "internal_ports": []json.Number{json.Number(port)},
+		"bind_ip": ip, "internal_ports": []json.Number{json.Number(port)},
 		"store_address": p.store.address(), "promote_address": p.order.address(),
 		"memory_mb": 200, "cpu_share": 0.4, "grace_s": graceTime.Seconds(), "drain_ms": 7000,
 	}
@@ -213,11 +217,12 @@
 	return p.start()
 }
 
-// freeAddresses picks loopback addresses that nobody listens on.
-func freeAddresses(n int) ([]string, error) {
+// freeAddresses picks ports of a loopback address that nobody listens on. Outgoing
+// connections have another address, so that none takes a port before the host does.
+func freeAddresses(ip string, n int) ([]string, error) {
 	var out []string
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, fmt.Errorf("soak: %w", err)
 		}
