Hosts cut off from lenders go to the endpoint; a later primary that members tell of counts only after a while

Now the link is waited for no longer than the caller can wait, two lenders are tried and then the endpoint itself, for which a fifth of its connections is left; questions have half of their time for the lender; absences grow to 6 s; a lender suspects. A later term now counts after 1.1 s; TestLearnWaits was red first. What a lender tells counts for its own term only.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
 // Control asks an endpoint something for the engine's own sake, over an idle
-// connection or else over a new one beside the pool.
+// connection or else over a new one beside the pool. Where another host that holds
+// the connections does not answer, the endpoint is asked directly: that host may be
+// cut off, and not the endpoint.
 func (e *Engine) Control(ctx context.Context, m replicaset.Member, op Op) (replicaset.Status, error) {
 	g := e.group(m.Group)
 	p := e.pool(g, m)
@@ -17,18 +20,40 @@
 	if err != nil {
 		return replicaset.Status{}, fmt.Errorf("connect to endpoint %s: %w", m.ID, err)
 	}
-	defer release()
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = e.Now().Add(proofTimeout)
 	}
+	if c.Far == nil {
+		defer release()
+		return e.controlOver(g, m, c, deadline, op)
+	}
+	half := e.Now().Add(deadline.Sub(e.Now()) / 2)
+	st, err := e.controlOver(g, m, c, half, op)
+	release()
+	if err == nil || errors.Is(err, errAnswered) {
+		return st, err
+	}
+	direct, dialErr := e.Dial(ctx, m)
+	if dialErr != nil {
+		return replicaset.Status{}, errors.Join(err, dialErr)
+	}
+	defer direct.Close()
+	return e.controlOver(g, m, direct, deadline, op)
+}
+
+// errAnswered says that the endpoint answered, with a refusal.
+var errAnswered = errors.New("endpoint refuses")
+
+// controlOver asks over a connection.
+func (e *Engine) controlOver(g *group, m replicaset.Member, c *Conn, deadline time.Time, op Op) (replicaset.Status, error) {
 	out, err := c.Run(Call{Until: deadline, Deadline: deadline, Class: classOpen, AnyState: true, Ops: []Op{op}})
 	if err != nil {
 		return replicaset.Status{}, fmt.Errorf("control of endpoint %s: %w", m.ID, err)
 	}
 	g.Answered(e.Boot(), m.ID)
 	if o := out[0]; o.Code != Done {
-		return replicaset.Status{}, fmt.Errorf("endpoint %s answers %s: %s", m.ID, o.Code, o.Reason)
+		return replicaset.Status{}, fmt.Errorf("%w: endpoint %s answers %s: %s", errAnswered, m.ID, o.Code, o.Reason)
 	}
 	return out[0].Report, nil
 }
--- a/internal/engine/fresh_test.go
+++ b/internal/engine/fresh_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -89,3 +90,53 @@
 		t.Errorf("a primary that is being replaced is lent: %v", err)
 	}
 }
+
+// TestLendersCutOff answers the load of hosts that a partition separates from
+// those that hold an endpoint's connections, but not from the endpoint: they use
+// a few connections of their own, for statements and for questions.
+func TestLendersCutOff(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := holder(&now)
+	asked := 0
+	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2", "h3"}, 2 }
+	e.Borrow = func(string, replicaset.Member, uint64, Call) (FarAnswer, error) {
+		asked++
+		return FarAnswer{}, NotSent(ErrLenderAway)
+	}
+	e.Return = func(string, uint64) {}
+	g := e.group("g")
+	m, _ := g.Member("next")
+	p := e.pool(g, m)
+	for range 2 * strayLimit {
+		c, err := e.acquire(p, time.Now().Add(time.Second), classRead, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		deadline := time.Now().Add(time.Second)
+		if _, err := c.Run(Call{Until: deadline, Deadline: deadline, Class: classRead, Ops: []Op{{Text: "READ 7"}}}); err != nil {
+			t.Fatalf("a statement fails although the endpoint is reached: %v", err)
+		}
+		p.release(c)
+	}
+	if open, _, _ := p.load(); open > strayLimit || asked != 2*strayLimit*maxLenders {
+		t.Errorf("%d connections are open and %d hosts were asked, want at most %d and %d", open, asked, strayLimit, 2*strayLimit*maxLenders)
+	}
+	if st, err := e.status(m, time.Second); err != nil || st.Role != replicaset.Replica {
+		t.Errorf("a question gives %v, %v", st, err)
+	}
+}
+
+// TestLenderSuspects checks that a host that lends notices an endpoint that it
+// does not reach: it may be the only one that would.
+func TestLenderSuspects(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := holder(&now)
+	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) { return nil, errors.New("i/o timeout") }
+	deadline := time.Now().Add(time.Second)
+	if _, err := e.Lend("g", "old", Call{Until: deadline, Deadline: deadline}); err == nil {
+		t.Fatal("an endpoint that is not reached is lent")
+	}
+	if silent, _ := e.Group("g").Trouble(); silent == 0 {
+		t.Error("the primary is not suspected")
+	}
+}
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -9,8 +9,16 @@
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
-// maxLenders bounds how many hosts are asked to run a call.
-const maxLenders = 3
+const (
+	// maxLenders bounds how many hosts are asked to run a call before this host
+	// tries the endpoint itself.
+	maxLenders = 2
+	// sharedPart is the part of an endpoint's connections that their holders share;
+	// the rest is for hosts that reach the endpoint and none of the holders.
+	sharedPart = 0.8
+	// strayLimit is how many of these one host opens.
+	strayLimit = 2
+)
 
 // ErrLenderAway says that another host could not be asked.
 var ErrLenderAway = errors.New("lending host is away")
@@ -56,6 +64,7 @@
 	p := e.pool(g, m)
 	c, err := p.own(call.Until, call.Class, call.Want.Values)
 	if err != nil {
+		e.failed(g, p, err)
 		return nil, err
 	}
 	p.used(e.Boot())
@@ -131,10 +140,7 @@
 	}
 	err := NotSent(ErrLenderAway)
 	for i, address := range b.addresses {
-		if address == "" {
-			return b.runOwn(call)
-		}
-		if i == maxLenders {
+		if address == "" || i == maxLenders {
 			break
 		}
 		var out []Outcome
@@ -146,10 +152,12 @@
 	}
 	if b.detour {
 		b.pool.noDetour()
+		return nil, err
 	}
-	return nil, err
+	return b.runOwn(call)
 }
 
+// runOwn runs a call over a connection of this host.
 func (b *borrowed) runOwn(call Call) ([]Outcome, error) {
 	if err := b.e.proveFor(b.e.group(b.pool.member.Group), b.pool.member.ID, call); err != nil {
 		return nil, NotSent(err)
@@ -220,9 +228,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !mine {
-		p.share, p.limit = 0, 1
+		p.share, p.limit = 0, strayLimit
 		return
 	}
-	p.share = max(p.endpointLimit/holders, 1)
+	p.share = max(int(float64(p.endpointLimit)*sharedPart)/holders, 1)
 	p.limit = p.share
 }
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -14,6 +14,8 @@
 	// counts. Whoever promotes pauses all replicas first and lets this time
 	// pass before the new primary is announced.
 	ProofTime = time.Second
+	// ProofMargin is added to the time for which proofs count.
+	ProofMargin = 100 * time.Millisecond
 	// proofTimeout bounds one question to a replica.
 	proofTimeout = 300 * time.Millisecond
 )
@@ -122,6 +124,9 @@
 	if found.ID == "" {
 		return errNoProof
 	}
-	g.Learn(found)
+	g.Learn(e.Boot(), found, ProofTime+ProofMargin)
+	if g.Lead().ID != found.ID {
+		return errNoProof
+	}
 	return nil
 }
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -22,8 +22,6 @@
 	effectTimeout = 4 * time.Second
 	// pollEvery is the pause between two questions while something is awaited.
 	pollEvery = 60 * time.Millisecond
-	// proofMargin is added to the time for which proofs count.
-	proofMargin = 100 * time.Millisecond
 	// settleTime lets statements end that run at a primary that leaves.
 	settleTime = 100 * time.Millisecond
 	// gatherTime is how long all replicas are tried before the switch is left
@@ -127,7 +125,7 @@
 	for _, st := range r.ask(ctx, r.set.Members(), engine.Op{Kind: engine.OpStatus}) {
 		lead.Term = max(lead.Term, st.Term)
 	}
-	r.set.Learn(lead)
+	r.set.Learn(r.Engine.Boot(), lead, engine.ProofTime+engine.ProofMargin)
 }
 
 // leaseLeft is how long the duty is still held.
@@ -170,7 +168,7 @@
 
 // awaitProofs waits until no proof from before the pause counts any more.
 func (r *run) awaitProofs(ctx context.Context, paused replicaset.Instant) {
-	if d := engine.ProofTime + proofMargin - r.Engine.Boot().Sub(paused); d > 0 {
+	if d := engine.ProofTime + engine.ProofMargin - r.Engine.Boot().Sub(paused); d > 0 {
 		sleep(ctx, d)
 	}
 }
@@ -179,7 +177,7 @@
 func (m *Manager) finish(ctx context.Context, set *replicaset.Set, lead replicaset.Lead) bool {
 	r := &run{Manager: m, set: set, old: lead}
 	next, ok := r.already(ctx)
-	if !ok || !sleep(ctx, engine.ProofTime+proofMargin) {
+	if !ok || !sleep(ctx, engine.ProofTime+engine.ProofMargin) {
 		return false
 	}
 	if set.Lead().Version != lead.Version {
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -42,6 +42,8 @@
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// Down is told of hosts that did not answer.
 	Down func(address string)
+	// Up is told of hosts to which a link stands; nil is for nobody.
+	Up func(address string)
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -66,7 +68,7 @@
 // Run runs a call at an endpoint over a lender's connection. The error of a
 // lender that is away wraps engine.ErrLenderAway.
 func (b *Borrower) Run(address string, m replicaset.Member, handle uint64, c engine.Call) (engine.FarAnswer, error) {
-	l, err := b.link(address)
+	l, err := b.linkWithin(address, time.Until(c.Until))
 	if err != nil {
 		return engine.FarAnswer{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderAway, err))
 	}
@@ -105,16 +107,10 @@
 // Warm opens the link to a lender ahead of demand, up to warmLinks of them.
 func (b *Borrower) Warm(address string) {
 	b.mu.Lock()
-	_, ok := b.links[address]
 	n := len(b.links)
 	b.mu.Unlock()
-	if !ok && n < warmLinks {
-		go func() {
-			if _, err := b.link(address); err != nil {
-				// The host is passed over for a while, and was told of by Down.
-				return
-			}
-		}()
+	if n < warmLinks {
+		b.start(address)
 	}
 }
 
@@ -132,8 +128,23 @@
 	}
 }
 
-func (b *Borrower) link(address string) (*link, error) {
+// linkWithin returns the link to a lender if it stands in time.
+func (b *Borrower) linkWithin(address string, wait time.Duration) (*link, error) {
+	l := b.start(address)
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-l.ready:
+		return l, l.err
+	case <-t.C:
+		return nil, errNoAnswer
+	}
+}
+
+// start returns the link to a lender, which may not stand yet.
+func (b *Borrower) start(address string) *link {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	l, ok := b.links[address]
 	if !ok {
 		if b.links == nil {
@@ -143,9 +154,7 @@
 		b.links[address] = l
 		go l.open()
 	}
-	b.mu.Unlock()
-	<-l.ready
-	return l, l.err
+	return l
 }
 
 func (l *link) open() {
@@ -167,6 +176,9 @@
 	l.ws = ws
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	close(l.ready)
+	if l.b.Up != nil {
+		l.b.Up(l.address)
+	}
 	go l.probe()
 	l.read()
 }
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -91,6 +91,33 @@
 	}
 }
 
+// TestDownLonger answers a partition of many seconds: a host that goes on not to
+// answer costs a statement its time ever more rarely.
+func TestDownLonger(t *testing.T) {
+	now := time.Now()
+	r := &Ring{Self: "h2", Now: func() time.Time { return now }}
+	r.Set([]Peer{{"h1", "a", "1", 0.8}, {"h2", "a", "2", 0.2}, {"h3", "a", "3", 0.2}})
+	m := replicaset.Member{ID: "x", Zone: "a"}
+	for _, want := range []time.Duration{downTime, 2 * downTime, longestDown, longestDown} {
+		r.Down("1")
+		r.Down("1")
+		now = now.Add(want - time.Millisecond)
+		if lenders, _ := r.Lenders(m, 2); len(lenders) != 2 {
+			t.Fatalf("a host is asked within %s of its absence: %v", want, lenders)
+		}
+		now = now.Add(time.Millisecond)
+		if lenders, _ := r.Lenders(m, 2); len(lenders) != 3 {
+			t.Fatalf("a host is not asked after %s: %v", want, lenders)
+		}
+	}
+	r.Up("1")
+	r.Down("1")
+	now = now.Add(downTime)
+	if lenders, _ := r.Lenders(m, 2); len(lenders) != 3 {
+		t.Error("a host that answered meanwhile is passed over for longer than the first time")
+	}
+}
+
 func TestScarce(t *testing.T) {
 	tests := []struct {
 		connections, hosts int
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -12,8 +12,18 @@
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
-// downTime is how long a host that did not answer is passed over.
-const downTime = 1500 * time.Millisecond
+const (
+	// downTime is how long a host that did not answer is passed over, doubled up
+	// to longestDown while it goes on not to answer.
+	downTime    = 1500 * time.Millisecond
+	longestDown = 6 * time.Second
+)
+
+// absence is a host that did not answer.
+type absence struct {
+	until time.Time
+	last  time.Duration
+}
 
 // holdersPerEndpoint is how many hosts share an endpoint's connections.
 const holdersPerEndpoint = 2
@@ -43,7 +53,7 @@
 
 	mu    sync.Mutex
 	peers []Peer
-	down  map[string]time.Time
+	down  map[string]absence
 }
 
 // Set replaces the known hosts.
@@ -58,9 +68,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down == nil {
-		r.down = make(map[string]time.Time)
+		r.down = make(map[string]absence)
+	}
+	now := r.Now()
+	a := r.down[address]
+	if now.Before(a.until) {
+		return
 	}
-	r.down[address] = r.Now().Add(downTime)
+	a.last = min(max(2*a.last, downTime), longestDown)
+	a.until = now.Add(a.last)
+	r.down[address] = a
+}
+
+// Up notes that a host answers.
+func (r *Ring) Up(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.down, address)
 }
 
 // Lenders returns who holds the connections to an endpoint, the one that this
@@ -84,7 +108,7 @@
 		if p.Name == r.Self {
 			address = ""
 		}
-		if address == "" || !now.Before(r.down[address]) {
+		if address == "" || !now.Before(r.down[address].until) {
 			ranks = append(ranks, rank{address, score(p, m.ID)})
 		}
 	}
@@ -129,7 +153,7 @@
 	now := r.Now()
 	for _, near := range []bool{true, false} {
 		for _, p := range r.peers {
-			if (p.Zone == m.Zone) == near && p.Name != r.Self && !now.Before(r.down[p.Address]) {
+			if (p.Zone == m.Zone) == near && p.Name != r.Self && !now.Before(r.down[p.Address].until) {
 				addresses = append(addresses, p.Address)
 			}
 		}
--- a/internal/replicaset/knowledge.go
+++ b/internal/replicaset/knowledge.go
@@ -38,6 +38,14 @@
 // was sent at the given moment: what it tells is at most as old as it says, seen
 // from that moment on.
 func (s *Set) Learned(asked Instant, k Knowledge) {
+	lead := s.Lead()
+	if lead.ID == k.Lead && lead.Term == 0 {
+		s.Learn(asked, Lead{ID: k.Lead, Term: k.Term}, 0)
+		lead = s.Lead()
+	}
+	if lead.ID != k.Lead || lead.Term != k.Term {
+		return
+	}
 	if k.SampleAge >= 0 {
 		s.Sample(k.Lead, asked.Add(-k.SampleAge), k.Point)
 	}
--- a/internal/replicaset/knowledge_test.go
+++ b/internal/replicaset/knowledge_test.go
@@ -47,3 +47,39 @@
 		t.Errorf("a host that knows of a switch tells %+v", k)
 	}
 }
+
+// TestLearnWaits reproduces stale reads beside a planned switch: a host that was
+// cut off from the store used the new primary as soon as that one led, while
+// others still held proofs of the old one.
+func TestLearnWaits(t *testing.T) {
+	const wait = 1100 * time.Millisecond
+	s := New("g", "zone-a")
+	s.Register(0, Member{ID: "p", Group: "g", Role: Primary, Started: 1})
+	s.Learn(at(1000), Lead{ID: "p", Term: 1}, wait)
+	if lead := s.Lead(); lead.Term != 1 {
+		t.Fatalf("the first term that is seen does not count at once: %+v", lead)
+	}
+	for _, now := range []int{5000, 5500, 6099} {
+		s.Learn(at(now), Lead{ID: "a", Term: 2}, wait)
+		if lead := s.Lead(); lead.ID != "p" {
+			t.Fatalf("a later primary counts %d ms after it was first seen", now-5000)
+		}
+	}
+	s.Learn(at(6100), Lead{ID: "a", Term: 2}, wait)
+	if lead := s.Lead(); lead.ID != "a" || lead.Term != 2 {
+		t.Errorf("a later primary does not count after the time: %+v", lead)
+	}
+}
+
+// TestLearnedOfAnEarlierTerm checks that what is told of an earlier term of the
+// same primary does not count.
+func TestLearnedOfAnEarlierTerm(t *testing.T) {
+	teller, s := testSet(), testSet()
+	teller.Sample("p", at(1000), point(1, 90))
+	teller.Prove(Lead{ID: "p", Term: 1}, at(1000))
+	s.SetLead(at(1), Lead{ID: "p", Term: 3, Version: 8})
+	s.Learned(at(5000), teller.Known(at(1000)))
+	if _, ok := s.Need(at(5000), time.Minute, session.Point{}); ok || s.Proved(at(5000), time.Minute) {
+		t.Error("a position and a proof of term 1 count in term 3")
+	}
+}
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -67,6 +67,9 @@
 	lead    Lead
 	// ledFrom is when this host learned of the last change of the primary.
 	ledFrom Instant
+	// seen is a later primary that members told of, first at seenAt.
+	seen    Lead
+	seenAt  Instant
 	samples []sample
 	// acked is how far this host acknowledged commits.
 	acked session.Point
@@ -210,13 +213,24 @@
 	return now.Sub(s.ledFrom), s.ledFrom != 0
 }
 
-// Learn takes what members say of themselves while no promotion is recorded.
-func (s *Set) Learn(l Lead) {
+// Learn takes what members say of themselves while no promotion is recorded. A
+// later term than the one that was known counts only once the given time has
+// passed since it was first seen: until then other hosts may hold proofs that the
+// earlier primary leads.
+func (s *Set) Learn(now Instant, l Lead, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lead.Version != 0 || l.Term < s.lead.Term {
 		return
 	}
+	if s.lead.Term != 0 && l.Term > s.lead.Term {
+		if s.seen.ID != l.ID || s.seen.Term != l.Term {
+			s.seen, s.seenAt = l, now
+		}
+		if now.Sub(s.seenAt) < wait {
+			return
+		}
+	}
 	if l.ID != s.lead.ID {
 		s.samples, s.stuckSince, s.provedAt = nil, 0, 0
 	}
