--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -68,8 +68,8 @@
 	pools    map[replicaset.EndpointID]*pool
 	policy   GroupPolicy
 	question *question
-	// refreshing is set while the group's freshness is renewed.
-	refreshing atomic.Bool
+	// refreshing is the renewal of proof and position under way, if any.
+	refreshing *question
 }
 
 func (e *Engine) event(v Event) {
--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -17,6 +17,9 @@
 	freshProof  = 500 * time.Millisecond
 	// demandTime is how long after the last loan a member's holder goes on.
 	demandTime = 3 * time.Second
+	// positionWait bounds the wait of a read for a position: two questions, to a
+	// replica and to the primary.
+	positionWait = 2 * proofTimeout
 	// warmSpare is how many connections beyond an endpoint's slots are opened
 	// before somebody waits for them.
 	warmSpare = 2
@@ -60,13 +63,40 @@
 		}
 		wanted = wanted || p.wanted(now)
 	}
-	if !wanted || !g.refreshing.CompareAndSwap(false, true) {
-		return
+	if wanted {
+		e.renew(g)
+	}
+}
+
+// renew starts a renewal of proof and position, or returns the one under way.
+func (e *Engine) renew(g *group) *question {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.refreshing != nil {
+		return g.refreshing
 	}
+	q := &question{done: make(chan struct{})}
+	g.refreshing = q
 	go func() {
-		defer g.refreshing.Store(false)
 		e.refresh(g)
+		g.mu.Lock()
+		g.refreshing = nil
+		g.mu.Unlock()
+		close(q.done)
 	}()
+	return q
+}
+
+// awaitPosition waits for a position of the primary, for all reads that lack one:
+// after a start, or a pause, one question serves them, and replicas can then serve
+// what otherwise would all fall to the primary.
+func (s *CallerSession) awaitPosition(g *group, deadline time.Time) {
+	t := time.NewTimer(min(deadline.Sub(s.e.Now()), positionWait))
+	defer t.Stop()
+	select {
+	case <-s.e.renew(g).done:
+	case <-t.C:
+	}
 }
 
 func (g *group) maxConnections() int {
@@ -78,15 +108,16 @@
 // refresh renews the proof that the primary leads, and the position of its log.
 func (e *Engine) refresh(g *group) {
 	lead := g.Lead()
-	if k := g.Known(e.Boot()); lead.ID == "" || lead.Switching {
+	if lead.ID == "" || lead.Switching {
 		return
-	} else if k.ProofAge < 0 || k.ProofAge > freshProof {
+	}
+	if k := g.Known(e.Boot()); k.ProofAge < 0 || k.ProofAge > freshProof {
 		q, mine := g.ask()
-		if !mine {
-			return
+		if mine {
+			q.err = e.question(g, lead)
+			g.answer(q)
 		}
-		q.err = e.question(g, lead)
-		g.answer(q)
+		<-q.done
 	}
 	m, ok := g.Member(g.Lead().ID)
 	if k := g.Known(e.Boot()); !ok || k.SampleAge >= 0 && k.SampleAge <= freshSample {
--- a/internal/engine/fresh_test.go
+++ b/internal/engine/fresh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,3 +141,50 @@
 		t.Error("the primary is not suspected")
 	}
 }
+
+// TestOneQuestionForAllReads answers the load after the restart of all hosts: no
+// position of the primary is known, and reads that replicas can serve must not all
+// fall to the primary.
+func TestOneQuestionForAllReads(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	lead := replicaset.Status{Role: replicaset.Primary, Term: 1, Received: session.Point{Term: 1, Position: 7}}
+	follows := replicaset.Status{Role: replicaset.Replica, Term: 1, Received: session.Point{Term: 1, Position: 7}}
+	e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &lead, "next": &follows, "third": &follows})
+	var mu sync.Mutex
+	reads := make(map[replicaset.EndpointID]int)
+	dial := e.Dial
+	e.Dial = func(ctx context.Context, m replicaset.Member) (*Conn, error) {
+		c, err := dial(ctx, m)
+		do := c.Do
+		c.Do = func(deadline time.Time, ops ...Op) ([]Outcome, error) {
+			if ops[0].Kind != OpStatement {
+				return do(deadline, ops...)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reads[m.ID]++
+			return []Outcome{{Rows: []string{"x"}, Digest: "d", Point: session.Point{Term: 1, Position: 7}}}, nil
+		}
+		return c, err
+	}
+	e.Apply(&Declared{
+		Version: 1, Groups: map[session.Group]GroupPolicy{"g": {MaxConnections: 9, Synchronous: true}},
+		Databases: map[string]Database{"d": {Group: "g", Consistency: Bounded, MaxAge: 1500 * time.Millisecond, StatementTimeout: 2 * time.Second}},
+	})
+	e.Group("g").SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 1})
+	var wg sync.WaitGroup
+	for range 40 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s, _ := e.Open("d")
+			if o := s.Run(Statement{ID: "1", Kind: Read, Text: "READ 7"}); o.Code != Done {
+				t.Errorf("a read ends with %s: %s", o.Code, o.Reason)
+			}
+		}()
+	}
+	wg.Wait()
+	if reads["old"] > 40/4 {
+		t.Errorf("the primary served %d of 40 reads, want replicas to serve them: %v", reads["old"], reads)
+	}
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -166,7 +166,7 @@
 	began := s.e.Boot()
 	busy := false
 	for s.e.Now().Add(minAttempt).Before(deadline) {
-		need, ok := s.need(g, began, s.route)
+		need, ok := s.needSoon(g, began, s.route, deadline)
 		if !ok {
 			return s.latestRead(g, w, deadline)
 		}
@@ -205,6 +205,15 @@
 	return g.Need(began, r.MaxAge-ageMargin, seen)
 }
 
+// needSoon is the same, after a wait for a position where none is known.
+func (s *CallerSession) needSoon(g *group, began replicaset.Instant, r Database, deadline time.Time) (session.Point, bool) {
+	if need, ok := s.need(g, began, r); ok {
+		return need, true
+	}
+	s.awaitPosition(g, deadline)
+	return s.need(g, began, r)
+}
+
 // readAttempt bounds one try of a read, so that another member can follow.
 func (s *CallerSession) readAttempt(g *group, m replicaset.Member, deadline time.Time, others bool) attempt {
 	a := attempt{g: g, member: m, class: classRead, until: deadline, deadline: deadline}
@@ -227,6 +236,13 @@
 	s.e.event(v)
 }
 
+// backOff is the pause before a try that follows some that the endpoint was too
+// busy for.
+func (s *CallerSession) backOff(tries int, deadline time.Time) {
+	d := min(retryPause<<min(tries, 3), longestPause)
+	time.Sleep(min(d, deadline.Sub(s.e.Now())))
+}
+
 // pause waits a moment, or for the group to change.
 func (s *CallerSession) pause(g *group, deadline time.Time) {
 	d := min(retryPause, deadline.Sub(s.e.Now()))
@@ -273,6 +289,7 @@
 func (s *CallerSession) latestRead(g *group, w work, deadline time.Time) Outcome {
 	last := Outcome{Code: Busy, Reason: "no primary"}
 	came := s.e.Boot()
+	busy := 0
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		lead, m, ok := s.leader(g, deadline)
 		if !ok {
@@ -289,6 +306,11 @@
 		if errors.Is(err, errOverloaded) {
 			break
 		}
+		if err == nil && o.Code == Busy {
+			s.backOff(busy, deadline)
+			busy++
+			continue
+		}
 		s.pause(g, deadline)
 	}
 	return s.giveUp(w, last)
@@ -298,6 +320,7 @@
 func (s *CallerSession) singleWrite(g *group, w work, deadline time.Time) Outcome {
 	last := Outcome{Code: Busy, Reason: "no primary"}
 	came := s.e.Boot()
+	busy := 0
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		lead, m, ok := s.leader(g, deadline)
 		if !ok {
@@ -319,6 +342,11 @@
 			last = o
 		}
 		s.retried(w, m, o, err)
+		if err == nil && o.Code == Busy {
+			s.backOff(busy, deadline)
+			busy++
+			continue
+		}
 		s.pause(g, deadline)
 	}
 	return s.giveUp(w, last)
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -28,7 +28,7 @@
 	last := Outcome{Code: Busy, Reason: "no endpoint can serve the transaction"}
 	tried := make(map[replicaset.EndpointID]bool)
 	began := s.e.Boot()
-	busy := false
+	busy, tries := false, 0
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		a, lead, ok := s.place(g, tried, began, deadline)
 		if !ok {
@@ -53,6 +53,11 @@
 		if err == nil {
 			last = o
 		}
+		if !s.tx.readOnly {
+			// There is no other member to try.
+			s.backOff(tries, deadline)
+			tries++
+		}
 	}
 	s.state, s.tx = FailedTransaction, nil
 	return s.giveUp(w, last)
@@ -65,7 +70,7 @@
 	var need session.Point
 	known := false
 	if r.Consistency != Latest {
-		need, known = s.need(g, began, r)
+		need, known = s.needSoon(g, began, r, deadline)
 	}
 	if s.tx.readOnly && known {
 		order, promising := g.ReadOrder(s.e.Boot(), need, tried)
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -221,8 +221,12 @@
 	return false
 }
 
-// abandoned reports whether the host that switches a group has taken too long.
+// abandoned reports whether the host that switches a group has taken too long, or
+// was this host before it started again.
 func (m *Manager) abandoned(lead replicaset.Lead) bool {
+	if lead.Holder == m.Self {
+		return true
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.storeNow() > lead.Until+dutyMargin
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -328,6 +328,29 @@
 	}
 }
 
+// TestOwnSwitchAfterRestart reproduces seven seconds without a primary: all hosts
+// lost power just after one had claimed a switch, and that host, back after a
+// second, waited until its own lease was over.
+func TestOwnSwitchAfterRestart(t *testing.T) {
+	w := newWorld()
+	w.silent["p"] = true
+	lead := replicaset.Lead{ID: "p", Term: 1, Switching: true, Holder: "host-1", Token: 4, Until: time.Hour, Version: 5}
+	w.version = 5
+	w.state.Duty = Duty{Holder: "host-1", Token: 4, Until: time.Hour, Version: 5}
+	w.state.Leads["g"] = lead
+	m, set := w.manager(t)
+	set.SetLead(m.Engine.Boot(), lead)
+	m.Observe(w.state.Duty, time.Second, m.Engine.Boot())
+	reason := m.suspicion(set, lead)
+	if reason != reasonOrphaned {
+		t.Fatalf("the own switch of before the restart is taken for %q", reason)
+	}
+	m.handle(context.Background(), set, lead, reason)
+	if len(w.promoted) != 1 || w.tokens[0] != 5 {
+		t.Errorf("promoted %v with the tokens %v, want one with token 5", w.promoted, w.tokens)
+	}
+}
+
 // TestDutyIsFreed reproduces five seconds without a promotion: a host that was
 // looking at another group as well kept the duty after its switch.
 func TestDutyIsFreed(t *testing.T) {
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -95,7 +95,7 @@
 		return errReplaced
 	}
 	d := st.Duty
-	if d.Holder != r.Self || st.Now > d.Until {
+	if d.Holder != r.Self || st.Now > d.Until || !r.othersSwitch() {
 		d.Token++
 	}
 	d.Holder, d.Until = r.Self, st.Now+dutyTime
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -240,10 +240,11 @@
 // readMoving reads from the database whose group operators change.
 func (c *caller) readMoving() bool {
 	life := c.host.life()
+	host := fmt.Sprintf("%s life %d", c.host.name, life)
+	known := c.l.knownVersion(host)
 	a, err := c.query(&sent{text: "READ moving"})
 	if err == nil && a.Done() && life == c.host.life() {
-		group := c.w.groupOf(a.Digest)
-		c.l.moved(a.Digest, fmt.Sprintf("%s life %d", c.host.name, life), group, c.w.configured())
+		c.l.moved(a.Digest, host, known, c.w.groupOf(a.Digest), c.w.configured())
 	}
 	return err == nil
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -149,12 +149,19 @@
 	}
 }
 
-// moved checks which group served the database that moves: a host never goes
-// back to an older configuration in one life.
-func (l *ledger) moved(id, host string, group int, put []configured) {
+// knownVersion is the version of the configuration that a host has shown to use.
+func (l *ledger) knownVersion(host string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inForce[host]
+}
+
+// moved checks which group served the database that moves: in one life, a host
+// never uses a configuration that is older than what it was known to use when the
+// request was sent.
+func (l *ledger) moved(id, host string, known, group int, put []configured) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.inForce[host]
 	newest := 0
 	for _, c := range put {
 		if c.group == group {
@@ -172,5 +179,5 @@
 			proved = min(proved, c.version)
 		}
 	}
-	l.inForce[host] = max(known, proved)
+	l.inForce[host] = max(l.inForce[host], proved)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,8 +73,8 @@
 	{"token", func(w *madeRun) { w.tokens = []uint64{2, 1} }},
 	{"config_regress", func(w *madeRun) {
 		put := []configured{{1, 0, time.Now()}, {2, 1, time.Now()}}
-		w.l.moved("q1", "h", 1, put)
-		w.l.moved("q1", "h", 0, put)
+		w.l.moved("q1", "h", w.l.knownVersion("h"), 1, put)
+		w.l.moved("q2", "h", w.l.knownVersion("h"), 0, put)
 	}},
 }
 
@@ -100,6 +100,22 @@
 	}
 }
 
+// TestLateOldConfiguration reproduces a false alarm of seed 109: a read that was
+// sent before a change, and answered after a later read that used it.
+func TestLateOldConfiguration(t *testing.T) {
+	l := newLedger()
+	put := []configured{{1, 0, time.Now()}, {3, 2, time.Now()}}
+	before := l.knownVersion("h")
+	l.moved("later", "h", before, 2, put)
+	l.moved("earlier", "h", before, 0, put)
+	if len(l.violations) != 0 {
+		t.Errorf("found %v", l.violations)
+	}
+	if got := l.knownVersion("h"); got != 3 {
+		t.Errorf("the host is known to use version %d, want 3", got)
+	}
+}
+
 // TestNeeded checks what a read has to see: a bounded read nothing that is
 // young, a session read only its own.
 func TestNeeded(t *testing.T) {
