--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
-	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 const (
@@ -54,12 +53,14 @@
 			continue
 		}
 		if !slices.Contains(lenders[:holders], "") {
-			e.Warm(lenders[0])
+			if e.Warm != nil {
+				e.Warm(lenders[0])
+			}
 			continue
 		}
 		p := e.pool(g, m)
 		if p.warm() {
-			go p.open1()
+			go p.openAhead()
 		}
 		wanted = wanted || p.wanted(now)
 	}
@@ -130,7 +131,7 @@
 		return
 	}
 	if st.Role == replicaset.Primary {
-		e.sample(g, m, sentAt, session.Point{Term: st.Received.Term, Position: st.Received.Position})
+		e.sample(g, m, sentAt, st.Received)
 	}
 }
 
@@ -147,8 +148,8 @@
 	return true
 }
 
-// open1 opens the connection that warm asked for.
-func (p *pool) open1() {
+// openAhead opens the connection that warm counted.
+func (p *pool) openAhead() {
 	c, err := p.connect(p.now().Add(dialTimeout), classRead)
 	p.mu.Lock()
 	p.opening = false
