A term that members are in is not taken for that of a primary that no longer leads

The term now counts only once the store has shown that no promotion was recorded. A registration does not move the lead either, and another primary than the known one waits 1.1 s like a later term; who meets a primary that refuses writes asks for a proof. A term that only becomes known is no change of the primary: losses of replicas stay known (TestSwitchover found that one). Ruled out: told proofs and samples (their ages only grow), the lag of the replica that was promoted.

--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -342,6 +342,12 @@
 			last = o
 		}
 		s.retried(w, m, o, err)
+		if err == nil && o.Code == ReadOnly && lead.Version == 0 {
+			// Another member may lead by now; who asks for a proof learns of it.
+			if err := s.e.prove(g, lead, s.e.Boot()); err != nil {
+				s.retried(w, m, last, err)
+			}
+		}
 		if err == nil && o.Code == Busy {
 			s.backOff(busy, deadline)
 			busy++
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 const (
@@ -55,8 +56,7 @@
 // the given version.
 func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, suspected uint64, reason string) {
 	r := &run{Manager: m, set: set, suspected: suspected, reason: reason}
-	r.learnTerm(ctx)
-	if err := r.claim(ctx); err != nil {
+	if err := r.claim(ctx, r.currentTerm(ctx)); err != nil {
 		m.event(set.Name, "", "switch_not_started", err.Error())
 		return
 	}
@@ -78,7 +78,7 @@
 }
 
 // claim takes the duty and records that the group is switching.
-func (r *run) claim(ctx context.Context) error {
+func (r *run) claim(ctx context.Context, term session.Term) error {
 	before := r.Engine.Boot()
 	st, err := r.Records.Read(ctx)
 	if err != nil {
@@ -101,7 +101,8 @@
 	d.Holder, d.Until = r.Self, st.Now+dutyTime
 	r.old = st.Leads[r.set.Name]
 	if known := r.set.Lead(); r.old.ID == "" || r.old.ID == known.ID && r.old.Term == 0 {
-		r.old.ID, r.old.Term = known.ID, known.Term
+		// No promotion is recorded: the term that members are in is the known primary's.
+		r.old.ID, r.old.Term = known.ID, max(known.Term, term)
 	}
 	lead := r.old
 	lead.Switching, lead.Token, lead.Holder, lead.Until = true, d.Token, r.Self, st.Now+dutyTime
@@ -116,16 +117,17 @@
 	return nil
 }
 
-// learnTerm finds out the term that is to end, from any member that answers.
-func (r *run) learnTerm(ctx context.Context) {
-	lead := r.set.Lead()
-	if lead.Term != 0 {
-		return
+// currentTerm asks for the term that is to end where it is not known. It may be
+// another primary's until the store shows that no promotion was recorded.
+func (r *run) currentTerm(ctx context.Context) session.Term {
+	term := r.set.Lead().Term
+	if term != 0 {
+		return term
 	}
 	for _, st := range r.ask(ctx, r.set.Members(), engine.Op{Kind: engine.OpStatus}) {
-		lead.Term = max(lead.Term, st.Term)
+		term = max(term, st.Term)
 	}
-	r.set.Learn(r.Engine.Boot(), lead, engine.ProofTime+engine.ProofMargin)
+	return term
 }
 
 // leaseLeft is how long the duty is still held.
--- a/internal/replicaset/knowledge_test.go
+++ b/internal/replicaset/knowledge_test.go
@@ -83,3 +83,23 @@
 		t.Error("a position and a proof of term 1 count in term 3")
 	}
 }
+
+// TestAnotherPrimaryWaits checks the same for a host that knows a primary and not
+// its term: what a registration says does not move the lead either.
+func TestAnotherPrimaryWaits(t *testing.T) {
+	const wait = 1100 * time.Millisecond
+	s := New("g", "zone-a")
+	s.Register(0, Member{ID: "p", Group: "g", Role: Primary, Started: 1})
+	s.Register(at(4000), Member{ID: "a", Group: "g", Role: Primary, Started: 1})
+	if lead := s.Lead(); lead.ID != "p" {
+		t.Fatalf("a registration makes %s the primary", lead.ID)
+	}
+	s.Learn(at(5000), Lead{ID: "a", Term: 2}, wait)
+	if lead := s.Lead(); lead.ID != "p" {
+		t.Fatal("another primary counts as soon as it is seen")
+	}
+	s.Learn(at(6100), Lead{ID: "a", Term: 2}, wait)
+	if lead := s.Lead(); lead.ID != "a" {
+		t.Error("another primary does not count after the time")
+	}
+}
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -121,7 +121,7 @@
 	}
 	changed := old.Member != m || old.removedAt != 0
 	old.Member, old.removedAt = m, 0
-	if s.lead.Version == 0 && m.Role == Primary && (s.lead.ID == "" || s.lead.Term == 0) {
+	if s.lead.ID == "" && m.Role == Primary {
 		s.lead.ID = m.ID
 	}
 	if changed {
@@ -195,7 +195,8 @@
 	if l.Version <= s.lead.Version {
 		return false
 	}
-	if l.ID != s.lead.ID || l.Term != s.lead.Term {
+	// A term that only was not known before is no change of the primary.
+	if l.ID != s.lead.ID || s.lead.Term != 0 && l.Term != s.lead.Term {
 		s.samples, s.stuckSince, s.provedAt = nil, 0, 0
 		s.lost = nil
 		s.ledFrom = now
@@ -214,16 +215,16 @@
 }
 
 // Learn takes what members say of themselves while no promotion is recorded. A
-// later term than the one that was known counts only once the given time has
-// passed since it was first seen: until then other hosts may hold proofs that the
-// earlier primary leads.
+// later term or another primary than was known counts only once the given time
+// has passed since it was first seen: until then other hosts may hold proofs that
+// the earlier primary leads.
 func (s *Set) Learn(now Instant, l Lead, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lead.Version != 0 || l.Term < s.lead.Term {
 		return
 	}
-	if s.lead.Term != 0 && l.Term > s.lead.Term {
+	if s.lead.Term != 0 && l.Term > s.lead.Term || s.lead.ID != "" && l.ID != s.lead.ID {
 		if s.seen.ID != l.ID || s.seen.Term != l.Term {
 			s.seen, s.seenAt = l, now
 		}
