--- a/internal/lending/doc.go
+++ b/internal/lending/doc.go
@@ -13,9 +13,9 @@
 //
 //	ring := &lending.Ring{Self: "host-1", Now: time.Now}
 //	ring.Set(peers)
-//	borrower := &lending.Borrower{}
+//	borrower := &lending.Borrower{Down: ring.Down, Up: ring.Up}
 //	lender := &lending.Lender{Engine: e}
 //	http.Handle("GET /lend", lender)
 //	e.Lenders = ring.Lenders
-//	e.Borrow = borrower.Borrow
+//	e.Borrow, e.Return, e.Warm = borrower.Run, borrower.Return, borrower.Warm
 package lending
