Hosts of a large fleet hear the store from two hosts of their region

A host that is asked follows the store itself, so no chains form. A host that has lost the store hears from any other one, in small fleets too.

--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -36,6 +36,19 @@
 	fewConnections = 3
 )
 
+const (
+	// relaysPerRegion is how many hosts of a region follow the store for the others
+	// at least, and hearersPerRelay how many others one of them serves.
+	relaysPerRegion = 2
+	hearersPerRelay = 64
+	// spareRelays is how many further hosts are asked where those are away, and
+	// maxRelays how many a host asks that has lost the store.
+	spareRelays = 2
+	maxRelays   = 4
+	// relayKey stands for the endpoint in the ranking of relays.
+	relayKey = "feed"
+)
+
 // maxDetours is how many hosts are asked for a way to an endpoint.
 const maxDetours = 2
 
@@ -49,7 +62,11 @@
 // Ring chooses who holds the connections to an endpoint.
 type Ring struct {
 	Self string
-	Now  func() time.Time
+	// Zone is this host's availability zone.
+	Zone string
+	// Regions tells the region of each zone; nil takes each zone for a region.
+	Regions map[string]string
+	Now     func() time.Time
 
 	mu    sync.Mutex
 	peers []Peer
@@ -97,32 +114,67 @@
 	if !scarce(maxConnections, len(r.peers)) {
 		return nil, 0
 	}
+	addresses = r.ranked(r.candidates(m.Zone), m.ID)
+	holders = min(holdersPerEndpoint, len(addresses))
+	if holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1) {
+		addresses[0], addresses[1] = addresses[1], addresses[0]
+	}
+	return addresses, holders
+}
+
+// ranked returns the addresses of the hosts that are not down, ordered by their
+// score for a key; an empty one is this host.
+func (r *Ring) ranked(peers []Peer, key replicaset.EndpointID) []string {
 	type rank struct {
 		address string
 		score   float64
 	}
 	now := r.Now()
 	var ranks []rank
-	for _, p := range r.candidates(m.Zone) {
+	for _, p := range peers {
 		address := p.Address
 		if p.Name == r.Self {
 			address = ""
 		}
 		if address == "" || !now.Before(r.down[address].until) {
-			ranks = append(ranks, rank{address, score(p, m.ID)})
+			ranks = append(ranks, rank{address, score(p, key)})
 		}
 	}
 	sort.Slice(ranks, func(i, j int) bool { return ranks[i].score > ranks[j].score })
-	for _, k := range ranks {
-		addresses = append(addresses, k.address)
+	addresses := make([]string, len(ranks))
+	for i, k := range ranks {
+		addresses[i] = k.address
 	}
-	holders = min(holdersPerEndpoint, len(addresses))
-	if holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1) {
-		addresses[0], addresses[1] = addresses[1], addresses[0]
+	return addresses
+}
+
+// Relays returns the hosts that this one hears of the store from, the one that it
+// asks first at the start: hosts of its region, the first of which are meant to serve
+// the others. It returns none where this host is one of them, or where there are
+// few hosts. A host that has lost the store hears from any other one.
+func (r *Ring) Relays(lost bool) (addresses []string, first int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	near, far := r.byRegion()
+	addresses = r.ranked(near, relayKey)
+	if lost {
+		addresses = slices.DeleteFunc(append(addresses, r.ranked(far, relayKey)...), isSelf)
+		n := min(len(addresses), maxRelays)
+		return addresses[:n], n
 	}
-	return addresses, holders
+	first = min(max(relaysPerRegion, (len(near)+hearersPerRelay-1)/hearersPerRelay), len(addresses))
+	if len(r.peers) < manyHosts || first == 0 || slices.ContainsFunc(addresses[:first], isSelf) {
+		return nil, 0
+	}
+	turn := int(xxhash.Sum64String(r.Self+relayKey) % uint64(first))
+	order := append(slices.Clone(addresses[turn:first]), addresses[:turn]...)
+	spare := slices.DeleteFunc(addresses[first:], isSelf)
+	return append(order, spare[:min(len(spare), spareRelays)]...), first
 }
 
+// isSelf tells the address that stands for this host.
+func isSelf(address string) bool { return address == "" }
+
 // Rank returns how many hosts come before this one for an endpoint: those that
 // hold its connections first. It reports false where each host holds its own.
 func (r *Ring) Rank(m replicaset.Member, maxConnections int) (rank int, ok bool) {
@@ -175,6 +227,19 @@
 	return out
 }
 
+// byRegion are the hosts of this host's region, or of its zone where no regions are
+// known, and the others.
+func (r *Ring) byRegion() (near, far []Peer) {
+	for _, p := range r.peers {
+		if p.Zone == r.Zone || r.Regions[r.Zone] != "" && r.Regions[p.Zone] == r.Regions[r.Zone] {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	return near, far
+}
+
 // score ranks a host for an endpoint; the chance to come first grows with the
 // square of the host's weight.
 func score(p Peer, id replicaset.EndpointID) float64 {
