The primary is asked over the reader's connection; connections at rest are closed

Cause 1: a proof now needs the primary's own word, and was asked for over another connection than the one that the reader held already. Cause 2: every host kept its whole share of connections for good, 21 of 21. A host that loses power leaves them behind for up to 3 s, so that hosts which start again find no place. Change: the question goes over the connection in hand. Connections that nobody used for 1.5 s are closed, down to one, or to those opened ahead where others borrow them. Asynchronous writes take their proof the same way. Tests: TestProofOverOwnConnection, TestPoolLeavesReserve.

--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -119,7 +119,7 @@
 	if k := g.Known(e.Boot()); k.ProofAge < 0 || k.ProofAge > freshProof {
 		q, mine := g.ask()
 		if mine {
-			q.err = e.question(g, lead)
+			q.err = e.question(g, lead, nil)
 			g.answer(q)
 		}
 		<-q.done
@@ -143,8 +143,7 @@
 func (p *pool) warm() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most := min(p.share, max(p.member.Slots, 1)+warmSpare)
-	if p.opening || p.open >= most || !p.mayOpen() || p.member.Role == replicaset.Unknown {
+	if p.opening || p.open >= p.ahead() || !p.mayOpen() || p.member.Role == replicaset.Unknown {
 		return false
 	}
 	p.opening = true
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -63,15 +63,12 @@
 	if !ok {
 		return nil, &DialError{Code: WrongEndpoint}
 	}
-	if err := e.proveFor(g, id, call); err != nil {
-		return nil, err
-	}
 	after, err := e.positionFor(g, call)
 	if err != nil {
 		return nil, err
 	}
 	p := e.pool(g, m)
-	c, err := p.own(call.Until, call.Class, call.Want.Values)
+	c, err := e.ownProved(g, p, call)
 	if err != nil {
 		e.failed(g, p, err)
 		return nil, err
@@ -80,16 +77,22 @@
 	return &Loan{e: e, g: g, m: m, pool: p, conn: c, after: after}, nil
 }
 
-// proveFor gives the proof that a call asks for.
-func (e *Engine) proveFor(g *group, id replicaset.EndpointID, call Call) error {
-	if !call.Proof {
-		return nil
+// ownProved returns a connection of this host for a call, with the proof that the
+// call asks for.
+func (e *Engine) ownProved(g *group, p *pool, call Call) (*Conn, error) {
+	lead, came := g.Lead(), e.Boot()
+	if call.Proof && lead.ID != p.member.ID {
+		return nil, errNoProof
+	}
+	c, err := p.own(call.Until, call.Class, call.Want.Values)
+	if err != nil || !call.Proof {
+		return c, err
 	}
-	lead := g.Lead()
-	if lead.ID != id {
-		return errNoProof
+	if err := e.prove(g, lead, came, c); err != nil {
+		p.release(c)
+		return nil, err
 	}
-	return e.prove(g, lead, e.Boot())
+	return c, nil
 }
 
 // positionFor chooses the position that the endpoint must have where a call leaves
@@ -200,17 +203,15 @@
 
 // runOwn runs a call over a connection of this host.
 func (b *borrowed) runOwn(call Call) ([]Outcome, error) {
-	if err := b.e.proveFor(b.e.group(b.pool.member.Group), b.pool.member.ID, call); err != nil {
-		return nil, NotSent(err)
-	}
-	after, err := b.e.positionFor(b.e.group(b.pool.member.Group), call)
+	g := b.e.group(b.pool.member.Group)
+	after, err := b.e.positionFor(g, call)
 	if err != nil {
 		return nil, NotSent(err)
 	}
 	if call.Fresh != nil {
 		call.Ops[0].After = after
 	}
-	c, err := b.pool.own(call.Until, call.Class, call.Want.Values)
+	c, err := b.e.ownProved(g, b.pool, call)
 	if err != nil {
 		return nil, NotSent(err)
 	}
@@ -275,6 +276,7 @@
 func (p *pool) shareWith(holders int, mine bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.lent = mine
 	if !mine {
 		p.share, p.limit = 0, strayLimit
 		return
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -18,6 +18,12 @@
 	emptyBackoff = 30 * time.Millisecond
 	// surplusIdle is how long a connection above the host's share is kept.
 	surplusIdle = 400 * time.Millisecond
+	// reserveIdle is how long a connection within the share is kept beyond those
+	// that a host always keeps, while nobody uses it. When hosts lose power, what
+	// they had open holds its place at the endpoint for seconds.
+	reserveIdle = 1500 * time.Millisecond
+	// keptIdle is how many connections a host always keeps.
+	keptIdle = 1
 )
 
 // errFull says that the endpoint has no connection left.
@@ -54,6 +60,8 @@
 	open  int
 	share int
 	limit int
+	// lent tells that this host holds the connections for others.
+	lent bool
 	// endpointLimit is what the endpoint takes from all hosts together.
 	endpointLimit int
 	fullUntil     time.Time
@@ -75,6 +83,7 @@
 	defer p.mu.Unlock()
 	p.endpointLimit = endpointLimit
 	p.share, p.limit = shares(endpointLimit, hosts)
+	p.lent = false
 }
 
 // own returns a connection that this host holds, preferring one that has the given values.
@@ -249,17 +258,34 @@
 	w.ready <- g
 }
 
-// trim closes idle connections above the host's share.
+// trim closes idle connections above the host's share, and those that were not in
+// use for a while.
 func (p *pool) trim() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && p.open > p.share && p.now().Sub(p.idle[0].idleFrom) > surplusIdle {
+	for len(p.idle) > 0 {
+		rest := p.now().Sub(p.idle[0].idleFrom)
+		if (p.open <= p.share || rest <= surplusIdle) && (p.open <= p.kept() || rest <= reserveIdle) {
+			return
+		}
 		p.idle[0].Close()
 		p.idle = p.idle[1:]
 		p.open--
 	}
 }
 
+// kept is how many connections are kept though nobody uses them: more where others
+// borrow them.
+func (p *pool) kept() int {
+	if p.lent {
+		return p.ahead()
+	}
+	return keptIdle
+}
+
+// ahead is how many connections a host that lends opens before somebody waits.
+func (p *pool) ahead() int { return min(p.share, max(p.member.Slots, 1)+warmSpare) }
+
 // shut closes the pool; connections in use are closed when they are released.
 func (p *pool) shut() {
 	p.mu.Lock()
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -99,3 +99,46 @@
 		t.Error("a waiter got a connection of a dead endpoint")
 	}
 }
+
+// TestPoolLeavesReserve answers the power loss of all hosts: what they had open
+// holds its place at the endpoints for seconds, and hosts that start again find
+// none left if each had kept its whole share.
+func TestPoolLeavesReserve(t *testing.T) {
+	tests := []struct {
+		name   string
+		lent   bool
+		used   int
+		before time.Duration
+		want   int
+	}{
+		{"just used", false, 3, reserveIdle, 3},
+		{"own connections at rest", false, 3, reserveIdle + time.Millisecond, keptIdle},
+		{"lent connections at rest", true, 6, reserveIdle + time.Millisecond, 2 + warmSpare},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
+			p.member.Slots = 2
+			p.setShare(21, 7)
+			if tt.lent {
+				p.shareWith(2, true)
+			}
+			var open []*Conn
+			for range tt.used {
+				c, err := p.own(now.Add(time.Minute), classRead, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				open = append(open, c)
+			}
+			for _, c := range open {
+				p.release(c)
+			}
+			*now = now.Add(tt.before)
+			p.trim()
+			if got, idle, _ := p.load(); got != tt.want || idle != tt.want {
+				t.Errorf("%d connections open, %d idle, want %d", got, idle, tt.want)
+			}
+		})
+	}
+}
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -31,8 +31,9 @@
 
 // prove shows that what the group's primary does for a caller who came at the
 // given moment sees each commit that was acknowledged before: some replica
-// follows that primary and has not been paused, or had not a moment before.
-func (e *Engine) prove(g *group, lead replicaset.Lead, came replicaset.Instant) error {
+// follows that primary and has not been paused, or had not a moment before. A
+// connection to the primary that the caller has, if any, is used to ask it.
+func (e *Engine) prove(g *group, lead replicaset.Lead, came replicaset.Instant, c *Conn) error {
 	for {
 		now := g.Lead()
 		if now.Switching || now.ID != lead.ID {
@@ -43,7 +44,7 @@
 		}
 		q, mine := g.ask()
 		if mine {
-			q.err = e.question(g, now)
+			q.err = e.question(g, now, c)
 			g.answer(q)
 			if q.err == nil && !g.Proved(came, ProofTime) {
 				return errNoProof
@@ -74,7 +75,7 @@
 	close(q.done)
 }
 
-func (e *Engine) question(g *group, lead replicaset.Lead) error {
+func (e *Engine) question(g *group, lead replicaset.Lead, c *Conn) error {
 	if lead.Term == 0 {
 		if err := e.learnTerm(g, lead); err != nil {
 			return err
@@ -83,7 +84,7 @@
 	}
 	others, _ := g.ReadOrder(e.Boot(), session.Point{}, map[replicaset.EndpointID]bool{lead.ID: true})
 	if len(others) == 0 && len(g.Members()) == 1 {
-		return e.confirm(g, lead, e.Boot())
+		return e.confirm(g, lead, e.Boot(), c)
 	}
 	for _, m := range others {
 		sentAt := e.Boot()
@@ -93,7 +94,7 @@
 			continue
 		}
 		if st.Role == replicaset.Replica && st.Held <= st.Term && st.Term == lead.Term {
-			return e.confirm(g, lead, sentAt)
+			return e.confirm(g, lead, sentAt, c)
 		}
 		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_refused", Reason: st.String()})
 		if leftPaused(lead, st) {
@@ -109,13 +110,13 @@
 // confirm asks the primary itself after a replica said that it follows it: a
 // replica that was resumed after a promotion, and has not heard of it, says the
 // same, but the old primary was demoted before.
-func (e *Engine) confirm(g *group, lead replicaset.Lead, provedAt replicaset.Instant) error {
+func (e *Engine) confirm(g *group, lead replicaset.Lead, provedAt replicaset.Instant, c *Conn) error {
 	m, ok := g.Member(lead.ID)
 	if !ok {
 		return errNoProof
 	}
 	sentAt := e.Boot()
-	st, err := e.status(m, proofTimeout)
+	st, err := e.statusOver(g, m, c)
 	if err != nil {
 		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_failed", Reason: err.Error()})
 		return errors.Join(errNoProof, err)
@@ -152,6 +153,15 @@
 	return e.Control(ctx, m, Op{Kind: OpStatus})
 }
 
+// statusOver asks an endpoint over a connection that the caller has, or else over
+// another one: an endpoint that has no connection left may be asked all the same.
+func (e *Engine) statusOver(g *group, m replicaset.Member, c *Conn) (replicaset.Status, error) {
+	if c == nil || c.Far != nil || c.Endpoint != m.ID || c.broken {
+		return e.status(m, proofTimeout)
+	}
+	return e.controlOver(g, m, c, e.Now().Add(proofTimeout), Op{Kind: OpStatus})
+}
+
 // learnTerm finds the primary of a group of which no promotion is recorded:
 // the member that leads the highest term.
 func (e *Engine) learnTerm(g *group, lead replicaset.Lead) error {
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -81,7 +81,7 @@
 			if tt.recordedTerm != 0 {
 				g.SetLead(1, replicaset.Lead{ID: "old", Term: tt.recordedTerm, Version: 7, Switching: tt.switchingRecorded})
 			}
-			if err := e.prove(g, g.Lead(), now); (err == nil) != tt.proved {
+			if err := e.prove(g, g.Lead(), now, nil); (err == nil) != tt.proved {
 				t.Fatalf("prove gives %v, want proved %t", err, tt.proved)
 			}
 		})
@@ -97,14 +97,42 @@
 	e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &primary, "next": &following, "third": &following})
 	g := e.group("g")
 	g.SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 7})
-	if err := e.prove(g, g.Lead(), now); err != nil {
+	if err := e.prove(g, g.Lead(), now, nil); err != nil {
 		t.Fatal(err)
 	}
 	following.Held = 2
-	if err := e.prove(g, g.Lead(), now.Add(ProofTime)); err != nil {
+	if err := e.prove(g, g.Lead(), now.Add(ProofTime), nil); err != nil {
 		t.Errorf("within the proof's time: %v", err)
 	}
-	if err := e.prove(g, g.Lead(), now.Add(ProofTime+time.Millisecond)); err == nil {
+	if err := e.prove(g, g.Lead(), now.Add(ProofTime+time.Millisecond), nil); err == nil {
 		t.Error("after the proof's time a paused group still counts as led by the old primary")
 	}
 }
+
+// TestProofOverOwnConnection answers the load after the restart of all hosts, when
+// a primary has no connection left: a reader that has one asks over it.
+func TestProofOverOwnConnection(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	following := replicaset.Status{Role: replicaset.Replica, Term: 1}
+	primary := replicaset.Status{Role: replicaset.Primary, Term: 1}
+	e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &primary, "next": &following, "third": &following})
+	g := e.group("g")
+	g.SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 7})
+	m, _ := g.Member("old")
+	deadline := time.Now().Add(time.Second)
+	c, err := e.pool(g, m).own(deadline, classRead, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dial := e.Dial
+	e.Dial = func(ctx context.Context, m replicaset.Member) (*Conn, error) {
+		if m.ID == "old" {
+			return nil, &DialError{Code: TooManyConnections}
+		}
+		return dial(ctx, m)
+	}
+	e.pool(g, m).dial = e.Dial
+	if err := e.prove(g, g.Lead(), now, c); err != nil {
+		t.Errorf("with a connection to the primary in hand: %v", err)
+	}
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -105,7 +105,7 @@
 		return c, err
 	}
 	if a.proof {
-		err = s.e.prove(a.g, a.lead, a.came)
+		err = s.e.prove(a.g, a.lead, a.came, c)
 	}
 	if err == nil && a.fresh != nil {
 		a.after, err = s.e.positionFor(a.g, a.call(Want{}))
@@ -356,12 +356,12 @@
 		if !ok {
 			break
 		}
-		if !s.mayWrite(g, lead, came) {
-			s.pause(g, deadline)
-			continue
-		}
+		a := attempt{g: g, member: m, class: classWrite, until: deadline, deadline: deadline}
+		// The answer of a synchronous commit proves by itself that a replica followed
+		// the primary then.
+		a.proof, a.lead, a.came = !s.e.Policy(g.Name).Synchronous, lead, came
 		sentAt := s.e.Boot()
-		o, sent, err := s.at(attempt{g: g, member: m, class: classWrite, until: deadline, deadline: deadline}, w)
+		o, sent, err := s.at(a, w)
 		if err == nil && !o.Code.notRun() {
 			return s.acknowledge(g, lead, w, sentAt, o)
 		}
@@ -374,7 +374,7 @@
 		s.retried(w, m, o, err)
 		if err == nil && o.Code == ReadOnly && lead.Version == 0 {
 			// Another member may lead by now; who asks for a proof learns of it.
-			if err := s.e.prove(g, lead, s.e.Boot()); err != nil {
+			if err := s.e.prove(g, lead, s.e.Boot(), nil); err != nil {
 				s.retried(w, m, last, err)
 			}
 		}
@@ -388,12 +388,6 @@
 	return s.giveUp(w, last)
 }
 
-// mayWrite reports whether a write may be sent to the primary. The answer of a
-// synchronous commit proves by itself that a replica followed the primary then.
-func (s *CallerSession) mayWrite(g *group, lead replicaset.Lead, came replicaset.Instant) bool {
-	return s.e.Policy(g.Name).Synchronous || s.e.prove(g, lead, came) == nil
-}
-
 // acknowledge passes a commit's answer on if no promotion can have taken effect
 // before it was made: a synchronous commit was received by a replica, and all
 // are paused before a promotion.
@@ -402,7 +396,7 @@
 		return o
 	}
 	if !s.e.Policy(g.Name).Synchronous {
-		if err := s.e.prove(g, lead, s.e.Boot()); err != nil {
+		if err := s.e.prove(g, lead, s.e.Boot(), nil); err != nil {
 			return s.inDoubt(w, replicaset.Member{ID: lead.ID, Group: g.Name}, err)
 		}
 	}
