A reader's question for the term goes over its own connection

Cause: after a restart of all hosts no term is known, and the first question for a proof asks all members for theirs. All connections that a host may have to the primary were held by those who waited for just that question, which therefore found none, failed, and was put again: the group was not served any more. Change: the primary is asked over the connection in hand, and all members at once. Ruled out: connections of the time before the power-off (gone after 3 s; refused for 14 s more). Test: TestProofOverOwnConnection with an unknown term, red before.

--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -77,7 +78,7 @@
 
 func (e *Engine) question(g *group, lead replicaset.Lead, c *Conn) error {
 	if lead.Term == 0 {
-		if err := e.learnTerm(g, lead); err != nil {
+		if err := e.learnTerm(g, lead, c); err != nil {
 			return err
 		}
 		lead = g.Lead()
@@ -101,7 +102,7 @@
 			go e.resume(m)
 		}
 		if lead.Version == 0 && st.Term > lead.Term {
-			return errors.Join(errNoProof, e.learnTerm(g, lead))
+			return errors.Join(errNoProof, e.learnTerm(g, lead, c))
 		}
 	}
 	return errNoProof
@@ -164,12 +165,25 @@
 
 // learnTerm finds the primary of a group of which no promotion is recorded:
 // the member that leads the highest term.
-func (e *Engine) learnTerm(g *group, lead replicaset.Lead) error {
+func (e *Engine) learnTerm(g *group, lead replicaset.Lead, c *Conn) error {
+	members := g.Members()
+	reports := make([]replicaset.Status, len(members))
+	var wg sync.WaitGroup
+	for i, m := range members {
+		wg.Go(func() {
+			st, err := e.statusOver(g, m, c)
+			if err != nil {
+				e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "term_unknown", Reason: err.Error()})
+				return
+			}
+			reports[i] = st
+		})
+	}
+	wg.Wait()
 	found := replicaset.Lead{Version: lead.Version}
-	for _, m := range g.Members() {
-		st, err := e.status(m, proofTimeout)
-		if err == nil && st.Role == replicaset.Primary && st.Term > found.Term {
-			found.ID, found.Term = m.ID, st.Term
+	for i, st := range reports {
+		if st.Role == replicaset.Primary && st.Term > found.Term {
+			found.ID, found.Term = members[i].ID, st.Term
 		}
 	}
 	if found.ID == "" {
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,14 +111,25 @@
 }
 
 // TestProofOverOwnConnection answers the load after the restart of all hosts, when
-// a primary has no connection left: a reader that has one asks over it.
+// a primary has no connection left: a reader that has one asks over it. Where the
+// term was not known either, each question waited for a connection that only its
+// own askers held, and the group was not served again.
 func TestProofOverOwnConnection(t *testing.T) {
+	for _, known := range []session.Term{0, 1} {
+		t.Run(fmt.Sprintf("known term %d", known), func(t *testing.T) { proveOverOwnConnection(t, known) })
+	}
+}
+
+func proveOverOwnConnection(t *testing.T, known session.Term) {
+	t.Helper()
 	now := replicaset.Instant(time.Minute)
 	following := replicaset.Status{Role: replicaset.Replica, Term: 1}
 	primary := replicaset.Status{Role: replicaset.Primary, Term: 1}
 	e := reporters(&now, map[replicaset.EndpointID]*replicaset.Status{"old": &primary, "next": &following, "third": &following})
 	g := e.group("g")
-	g.SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 7})
+	if known != 0 {
+		g.SetLead(1, replicaset.Lead{ID: "old", Term: known, Version: 7})
+	}
 	m, _ := g.Member("old")
 	deadline := time.Now().Add(time.Second)
 	c, err := e.pool(g, m).own(deadline, classRead, nil)
