Requests on their way to a far endpoint do not count as running there

Cause: a host has at most an endpoint's slots and one more under way, counted from here. By Little's law that is 50 statements a second at a round trip of 70 ms, with the endpoint idle. Change: the round trip is measured when a connection is set up, and the bound grows by what is on the way meanwhile. Test: TestGateFarEndpoint.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -64,6 +64,9 @@
 	Do func(deadline time.Time, ops ...Op) ([]Outcome, error)
 	// Close ends the connection at once.
 	Close func()
+	// RoundTrip is how long a message to the endpoint and back was on its way, 0
+	// where that is not known.
+	RoundTrip time.Duration
 	// Far runs calls over a connection that another host holds, and GiveBack ends
 	// its loan; both are nil for a connection of this host.
 	Far      func(Call) ([]Outcome, error)
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -22,6 +22,11 @@
 	firstService = 10 * time.Millisecond
 	// serviceWeight is the share of a new duration in the average.
 	serviceWeight = 0.1
+	// leastWork stands for the work of a request that seems to take less: clocks
+	// and ways vary by as much.
+	leastWork = time.Millisecond
+	// mostOnWay bounds the requests on the way for each slot of a far endpoint.
+	mostOnWay = 16
 )
 
 // errOverloaded says that more waits already than can be served in time.
@@ -33,13 +38,19 @@
 type gate struct {
 	now func() time.Time
 
-	mu      sync.Mutex
+	mu    sync.Mutex
+	slots float64
+	// most is the largest limit: what the endpoint runs, and what is on its way
+	// there and back meanwhile.
 	most    float64
 	limit   float64
 	running int
-	service time.Duration
-	cutAt   time.Time
-	waiting []*entrant
+	// service is the duration of a request as seen from here, roundTrip the part of
+	// it that is spent on the way.
+	service   time.Duration
+	roundTrip time.Duration
+	cutAt     time.Time
+	waiting   []*entrant
 }
 
 // entrant is a call that waits at a gate.
@@ -53,7 +64,31 @@
 		slots = defaultSlots
 	}
 	most := float64(slots + spareSlots)
-	return &gate{now: now, most: most, limit: most, service: firstService}
+	return &gate{now: now, slots: float64(slots), most: most, limit: most, service: firstService}
+}
+
+// distance takes the round trip to the endpoint. By Little's law a far endpoint
+// works on little if requests on their way count like those that it runs.
+func (g *gate) distance(roundTrip time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.roundTrip == 0 || roundTrip < g.roundTrip {
+		g.service += roundTrip - g.roundTrip
+		g.roundTrip = roundTrip
+		g.bound()
+	}
+}
+
+// bound sets the largest limit for the present durations.
+func (g *gate) bound() {
+	work := max(g.service-g.roundTrip, leastWork)
+	onWay := min(float64(g.roundTrip)/float64(work), mostOnWay)
+	most := g.slots*(1+onWay) + spareSlots
+	if most > g.most {
+		g.limit += most - g.most
+	}
+	g.most = most
+	g.limit = min(g.limit, most)
 }
 
 // enter waits for a place. It fails at once if none is expected to be free in
@@ -108,8 +143,9 @@
 	defer g.mu.Unlock()
 	g.running--
 	if now := g.now(); !shed {
-		g.limit = min(g.most, g.limit+gateGrowth/g.limit)
 		g.service += time.Duration(serviceWeight * float64(took-g.service))
+		g.bound()
+		g.limit = min(g.most, g.limit+gateGrowth/g.limit)
 	} else if now.Sub(g.cutAt) >= gateCutEvery {
 		g.limit, g.cutAt = max(1, g.limit*gateCut), now
 	}
--- a/internal/engine/gate_test.go
+++ b/internal/engine/gate_test.go
@@ -93,3 +93,37 @@
 		t.Errorf("the limit is %f after answers, want %f", g.limit, g.most)
 	}
 }
+
+// TestGateFarEndpoint answers the load of an endpoint that is far away: what is on
+// its way there and back does not take the place of what the endpoint could run.
+func TestGateFarEndpoint(t *testing.T) {
+	const work = 10 * time.Millisecond
+	tests := []struct {
+		roundTrip   time.Duration
+		slots, want int
+	}{
+		{200 * time.Microsecond, 2, 2 + spareSlots},
+		{24 * time.Millisecond, 2, 6 + spareSlots},
+		{70 * time.Millisecond, 2, 15 + spareSlots},
+		{70 * time.Millisecond, 8, 63 + spareSlots},
+		{time.Second, 1, 16 + spareSlots},
+	}
+	for _, tt := range tests {
+		g := newGate(time.Now, tt.slots)
+		g.distance(tt.roundTrip)
+		for range 100 {
+			if err := g.enter(time.Now().Add(time.Minute), classRead); err != nil {
+				t.Fatal(err)
+			}
+			g.leave(tt.roundTrip+work, false)
+		}
+		admitted := 0
+		for admitted < 200 && g.running < int(g.limit) {
+			_ = g.enter(time.Now().Add(time.Minute), classRead)
+			admitted++
+		}
+		if admitted < tt.want-1 || admitted > tt.want+1 {
+			t.Errorf("%s away, %d slots: %d requests under way, want about %d", tt.roundTrip, tt.slots, admitted, tt.want)
+		}
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -187,6 +187,9 @@
 	c, err := p.dial(ctx, p.member)
 	if err == nil {
 		c.gate = p.gate
+		if c.RoundTrip > 0 {
+			p.gate.distance(c.RoundTrip)
+		}
 		return c, nil
 	}
 	p.mu.Lock()
