Hosts of the endpoint's zone hold its connections in small fleets too

Cause: below 16 hosts each one held its own share of an endpoint's connections, two or three, and kept each for the way from another region and back. Change: from two hosts on connections are lent. A holder that does not reach the endpoint says so at once, and the other holder is asked; a host that finds the endpoint gone is refused at once for a while and does not dial for each statement. A dial that had too little time does not count against the endpoint.

--- a/internal/engine/detour.go
+++ b/internal/engine/detour.go
@@ -26,20 +26,31 @@
 	if err == nil || !unreachable(err) || e.Detours == nil {
 		return c, err
 	}
-	if p.cut() {
-		go e.awaitPath(p)
-	}
+	err = e.noteCut(p, err)
 	if c := e.detour(p); c != nil {
 		return c, nil
 	}
 	return nil, err
 }
 
+// noteCut notes an endpoint that could not be reached, and looks for a path again
+// until one is found. Other errors are returned as they are.
+func (e *Engine) noteCut(p *pool, err error) error {
+	if !unreachable(err) {
+		return err
+	}
+	if p.cut() {
+		go e.awaitPath(p)
+	}
+	return errors.Join(ErrUnreached, err)
+}
+
 // unreachable reports whether no path to the endpoint was found; an endpoint
 // that refuses or that has no connection left was reached.
 func unreachable(err error) bool {
 	var refused *DialError
-	return !errors.As(err, &refused) && !errors.Is(err, errFull) && !errors.Is(err, errNoConnection)
+	return !errors.As(err, &refused) && !errors.Is(err, errFull) && !errors.Is(err, errNoConnection) &&
+		!errors.Is(err, errNoProof) && !errors.Is(err, errNoPosition) && !errors.Is(err, errOverloaded)
 }
 
 // detour returns a connection that goes through other hosts, nil where there is
--- a/internal/engine/detour_test.go
+++ b/internal/engine/detour_test.go
@@ -81,3 +81,73 @@
 		t.Errorf("%d connections were given back, want 1", closed)
 	}
 }
+
+// TestHolderCutOff answers a partition between an endpoint and one of the two hosts
+// that hold its connections: whoever borrows goes to the other one, and that host
+// itself goes through another, without waiting for a dial each time.
+func TestHolderCutOff(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	cut := holder(&now)
+	var dials atomic.Int64
+	cut.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+		dials.Add(1)
+		return nil, errors.New("i/o timeout")
+	}
+	deadline := time.Now().Add(time.Minute)
+	call := Call{Until: deadline, Deadline: deadline, Class: classRead, Ops: []Op{{Text: "READ 7"}}}
+	for range 5 {
+		if _, err := cut.Lend("g", "next", call); !errors.Is(err, ErrUnreached) {
+			t.Fatalf("an endpoint that is not reached gives %v", err)
+		}
+	}
+	if n := dials.Load(); n != 1 {
+		t.Errorf("%d dials for five calls, want one", n)
+	}
+	e := holder(&now)
+	var asked []string
+	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"cut", "well"}, 2 }
+	e.Borrow = func(address string, _ replicaset.Member, _ uint64, _ Call) (FarAnswer, error) {
+		asked = append(asked, address)
+		if address == "cut" {
+			return FarAnswer{}, NotSent(ErrUnreached)
+		}
+		return FarAnswer{Outcomes: []Outcome{{}}}, nil
+	}
+	m, _ := e.group("g").Member("next")
+	c, err := e.acquire(e.pool(e.group("g"), m), deadline, classRead, nil)
+	if err == nil {
+		_, err = c.Run(call)
+	}
+	if err != nil || len(asked) != 2 {
+		t.Errorf("the other holder is not asked: %v, %v", asked, err)
+	}
+}
+
+// TestNobodyReaches answers an endpoint that is gone: those who borrow find that
+// out once, and are refused at once afterwards.
+func TestNobodyReaches(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := holder(&now)
+	var dials atomic.Int64
+	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+		dials.Add(1)
+		return nil, errors.New("i/o timeout")
+	}
+	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2"}, 2 }
+	e.Borrow = func(string, replicaset.Member, uint64, Call) (FarAnswer, error) { return FarAnswer{}, NotSent(ErrUnreached) }
+	m, _ := e.group("g").Member("next")
+	p := e.pool(e.group("g"), m)
+	deadline := time.Now().Add(time.Minute)
+	for range 5 {
+		c, err := e.acquire(p, deadline, classRead, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Run(Call{Until: deadline, Deadline: deadline, Ops: []Op{{Text: "READ 7"}}}); err == nil || Sent(err) {
+			t.Fatalf("a call to an endpoint that is gone gives %v", err)
+		}
+	}
+	if n := dials.Load(); n != 1 {
+		t.Errorf("%d dials for five calls, want one", n)
+	}
+}
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -23,6 +23,10 @@
 // ErrLenderAway says that another host could not be asked.
 var ErrLenderAway = errors.New("lending host is away")
 
+// ErrUnreached says that a host that holds an endpoint's connections does not reach
+// the endpoint.
+var ErrUnreached = errors.New("the lending host does not reach the endpoint")
+
 // ErrFull says that no connection to an endpoint is to be had.
 var ErrFull = errFull
 
@@ -68,10 +72,13 @@
 		return nil, err
 	}
 	p := e.pool(g, m)
+	if p.cutOff() {
+		return nil, ErrUnreached
+	}
 	c, err := e.ownProved(g, p, call)
 	if err != nil {
 		e.failed(g, p, err)
-		return nil, err
+		return nil, e.noteCut(p, err)
 	}
 	p.used(e.Boot())
 	return &Loan{e: e, g: g, m: m, pool: p, conn: c, after: after}, nil
@@ -189,16 +196,22 @@
 		}
 		var out []Outcome
 		out, err = b.ask(address, call)
-		if Sent(err) || err == nil || !b.detour && !errors.Is(err, ErrLenderAway) {
+		if Sent(err) || err == nil || !b.detour && !errors.Is(err, ErrLenderAway) && !errors.Is(err, ErrUnreached) {
 			return out, err
 		}
 		b.e.event(Event{Group: b.pool.member.Group, Endpoint: b.pool.member.ID, Decision: "lender_away", Reason: err.Error()})
 	}
-	if b.detour {
+	if b.detour || errors.Is(err, ErrUnreached) && !b.pool.mayDetour() {
 		b.pool.noDetour()
 		return nil, err
 	}
-	return b.runOwn(call)
+	out, err := b.runOwn(call)
+	if err != nil && b.own == nil && unreachable(err) {
+		// Nobody reaches the endpoint: others are not asked to wait for this host to
+		// find that out again.
+		b.pool.noDetour()
+	}
+	return out, err
 }
 
 // runOwn runs a call over a connection of this host.
@@ -249,7 +262,7 @@
 	}
 	p.shareWith(holders, slices.Contains(lenders[:holders], ""))
 	if lenders[0] == "" {
-		return p.own(until, class, values)
+		return e.direct(p, until, class, values)
 	}
 	return e.borrow(p, lenders, false), nil
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -179,12 +179,18 @@
 }
 
 func (p *pool) connect(deadline time.Time, class int) (*Conn, error) {
-	if limit := p.now().Add(dialTimeout); deadline.After(limit) {
+	limit := p.now().Add(dialTimeout)
+	short := deadline.Before(limit)
+	if !short {
 		deadline = limit
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	c, err := p.dial(ctx, p.member)
+	if err != nil && short && ctx.Err() != nil {
+		// The caller had too little time; that says nothing of the endpoint.
+		err = errors.Join(errNoConnection, err)
+	}
 	if err == nil {
 		c.gate = p.gate
 		if c.RoundTrip > 0 {
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -98,6 +98,8 @@
 		return engine.NotSent(engine.ErrOverloaded)
 	case failNoProof:
 		return engine.NotSent(engine.ErrNoProof)
+	case failUnreached:
+		return engine.NotSent(engine.ErrUnreached)
 	case failNoPosition:
 		return engine.NotSent(engine.ErrNoPosition)
 	case failNotSent:
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -183,6 +183,8 @@
 		return response{Failure: failAway}
 	case errors.Is(err, engine.ErrNoProof):
 		return response{Failure: failNoProof}
+	case errors.Is(err, engine.ErrUnreached):
+		return response{Failure: failUnreached}
 	case errors.Is(err, engine.ErrNoPosition):
 		return response{Failure: failNoPosition}
 	case errors.Is(err, engine.ErrOverloaded):
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -42,6 +42,8 @@
 	failAway
 	// failNoPosition says that no position is young enough for the read.
 	failNoPosition
+	// failUnreached says that the lender does not reach the endpoint.
+	failUnreached
 )
 
 type request struct {
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -28,13 +28,8 @@
 // holdersPerEndpoint is how many hosts share an endpoint's connections.
 const holdersPerEndpoint = 2
 
-const (
-	// manyHosts is from how many hosts on connections are lent although each
-	// host could have one; with fewer, nearly each would be a holder.
-	manyHosts = 16
-	// fewConnections is how many a host then needs to keep its own.
-	fewConnections = 3
-)
+// manyHosts is from how many hosts on a few of them follow the store for the others.
+const manyHosts = 16
 
 const (
 	// relaysPerRegion is how many hosts of a region follow the store for the others
@@ -106,12 +101,14 @@
 
 // Lenders returns who holds the connections to an endpoint, the one that this
 // host asks first at the start, and how many share them; an empty address is
-// this host. Holders is 0 where each host holds its own. The holders are hosts of
-// the endpoint's zone, so that one pool serves all zones.
+// this host. Holders is 0 where each host holds its own: no other one is known, or
+// the endpoint has no limit. The holders are hosts of the endpoint's zone, so that
+// one pool serves all zones, and a connection is in use for the time of the work
+// and not for the way from another region.
 func (r *Ring) Lenders(m replicaset.Member, maxConnections int) (addresses []string, holders int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !scarce(maxConnections, len(r.peers)) {
+	if maxConnections == 0 || len(r.peers) < 2 {
 		return nil, 0
 	}
 	addresses = r.ranked(r.candidates(m.Zone), m.ID)
@@ -188,15 +185,6 @@
 	return math.MaxInt, true
 }
 
-// scarce reports whether connections are lent: where not each host can have one,
-// or where many hosts would have too few for their transactions.
-func scarce(maxConnections, hosts int) bool {
-	if maxConnections == 0 {
-		return false
-	}
-	return maxConnections < hosts || hosts >= manyHosts && maxConnections < fewConnections*hosts
-}
-
 // Detours returns hosts that may reach an endpoint which this one does not: of
 // its zone first, then others.
 func (r *Ring) Detours(m replicaset.Member) (addresses []string) {
