A panic ends one session, link or check; malformed messages of hosts are refused

Here: codes, states and roles from another host indexed tables of names; an answer without outcomes was indexed; a read that leaves its position to the lender without a request was too; nothing recovered. Change: messages between hosts are checked where they are decoded, and reported; sessions, links, failover checks, followers and renewals end alone, with the cause and the stack in the log; an answer of a lender that cannot be right counts as sent. A host that starts hears nothing from one that has lost the store unless it has lost it itself: that one may tell of servers that have left.

--- a/internal/engine/detour.go
+++ b/internal/engine/detour.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	if p.cut() {
-		go e.awaitPath(p)
+		e.start("path", func() { e.awaitPath(p) })
 	}
 	return errors.Join(ErrUnreached, err)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -74,6 +75,19 @@
 	refreshing *question
 }
 
+// Panicked reports a task that ended by a panic.
+func (e *Engine) Panicked(task, cause string) {
+	e.event(Event{Decision: "panic", Reason: task + ": " + cause, Failover: true})
+}
+
+// Malformed reports a message of another host that could not be read.
+func (e *Engine) Malformed(from string, err error) {
+	e.event(Event{Decision: "malformed_message", Reason: from + ": " + err.Error(), Failover: true})
+}
+
+// start runs a task beside the sessions.
+func (e *Engine) start(task string, f func()) { go guard.Run(task, e.Panicked, f) }
+
 func (e *Engine) event(v Event) {
 	if e.Event != nil {
 		e.Event(v)
--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -66,7 +66,7 @@
 		}
 		p := e.pool(g, m)
 		if p.warm() {
-			go p.openAhead()
+			e.start("connection ahead", p.openAhead)
 		}
 		wanted = wanted || p.wanted(now)
 	}
@@ -84,13 +84,15 @@
 	}
 	q := &question{done: make(chan struct{})}
 	g.refreshing = q
-	go func() {
+	e.start("renewal", func() {
+		defer func() {
+			g.mu.Lock()
+			g.refreshing = nil
+			g.mu.Unlock()
+			close(q.done)
+		}()
 		e.refresh(g)
-		g.mu.Lock()
-		g.refreshing = nil
-		g.mu.Unlock()
-		close(q.done)
-	}()
+	})
 	return q
 }
 
@@ -121,8 +123,7 @@
 	if k := g.Known(e.Boot()); k.ProofAge < 0 || k.ProofAge > freshProof {
 		q, mine := g.ask()
 		if mine {
-			q.err = e.question(g, lead, nil)
-			g.answer(q)
+			e.put(g, q, lead, nil)
 		}
 		<-q.done
 	}
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -45,8 +45,7 @@
 		}
 		q, mine := g.ask()
 		if mine {
-			q.err = e.question(g, now, c)
-			g.answer(q)
+			e.put(g, q, now, c)
 			if q.err == nil && !g.Proved(came, ProofTime) {
 				return errNoProof
 			}
@@ -58,6 +57,13 @@
 	}
 }
 
+// put asks a question for all who wait for it, who are answered whatever happens.
+func (e *Engine) put(g *group, q *question, lead replicaset.Lead, c *Conn) {
+	q.err = errNoProof
+	defer g.answer(q)
+	q.err = e.question(g, lead, c)
+}
+
 // ask returns the question under way, or a new one that the caller has to put.
 func (g *group) ask() (q *question, mine bool) {
 	g.mu.Lock()
@@ -99,7 +105,7 @@
 		}
 		e.event(Event{Group: g.Name, Endpoint: m.ID, Decision: "proof_refused", Reason: st.String()})
 		if leftPaused(lead, st) {
-			go e.resume(m)
+			e.start("resume", func() { e.resume(m) })
 		}
 		if lead.Version == 0 && st.Term > lead.Term {
 			return errors.Join(errNoProof, e.learnTerm(g, lead, c))
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -219,10 +219,10 @@
 		tx.pool.release(tx.conn)
 		return
 	}
-	go func() {
+	s.e.start("rollback", func() {
+		defer tx.pool.release(tx.conn)
 		s.rollBack(tx.conn)
-		tx.pool.release(tx.conn)
-	}()
+	})
 }
 
 // fail rolls the open transaction back; the caller has to end it.
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -76,7 +76,15 @@
 }
 
 // String names the code.
-func (c Code) String() string { return codeNames[c] }
+func (c Code) String() string {
+	if !c.Valid() {
+		return "unknown"
+	}
+	return codeNames[c]
+}
+
+// Valid reports whether the code is one of those above.
+func (c Code) Valid() bool { return int(c) < len(codeNames) }
 
 // NothingKept reports whether the code promises that nothing is kept.
 func (c Code) NothingKept() bool { return c >= Busy && c <= Aborted }
@@ -95,6 +103,9 @@
 	FailedTransaction
 )
 
+// Valid reports whether the state is one of those above.
+func (s TxState) Valid() bool { return s <= FailedTransaction }
+
 // Outcome is the answer to a statement.
 type Outcome struct {
 	Code   Code
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -137,11 +138,11 @@
 		return
 	}
 	m.wg.Add(1)
-	go func() {
+	go guard.Run("failover of "+string(set.Name), m.Engine.Panicked, func() {
 		defer m.wg.Done()
 		defer m.end(set.Name)
 		m.handle(ctx, set, lead, reason)
-	}()
+	})
 }
 
 func (m *Manager) begin(g session.Group) bool {
--- a/internal/failover/survey.go
+++ b/internal/failover/survey.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -60,7 +61,7 @@
 	out := make(map[replicaset.EndpointID]replicaset.Status)
 	for _, member := range members {
 		wg.Add(1)
-		go func() {
+		go guard.Run("question to an endpoint", m.Engine.Panicked, func() {
 			defer wg.Done()
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
@@ -72,7 +73,7 @@
 			mu.Lock()
 			out[member.ID] = st
 			mu.Unlock()
-		}()
+		})
 	}
 	wg.Wait()
 	return out
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -45,6 +45,10 @@
 	Down func(address string)
 	// Up is told of hosts to which a link stands; nil is for nobody.
 	Up func(address string)
+	// Malformed is told of messages that could not be read, and Panicked of a link
+	// that ended by a panic; nil is for nobody.
+	Malformed func(from string, err error)
+	Panicked  guard.Report
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -81,6 +85,11 @@
 		b.Down(address)
 	}
 	out := engine.FarAnswer{Outcomes: engineOutcomes(a.Outcomes), Handle: a.Handle, Known: a.Known.knowledge()}
+	if a.Failure == failNone && len(c.Ops) > 0 && (len(a.Outcomes) == 0 || len(a.Outcomes) > len(c.Ops)) {
+		err := fmt.Errorf("%w: %d outcomes of %d requests", errMalformed, len(a.Outcomes), len(c.Ops))
+		b.malformed(err)
+		return out, err
+	}
 	return out, a.err()
 }
 
@@ -171,7 +180,7 @@
 		}
 		l = &link{b: b, address: address, ready: make(chan struct{}), pending: make(map[uint64]chan response), used: time.Now()}
 		b.links[address] = l
-		go l.open()
+		go guard.Run("link to a lender", b.Panicked, l.open)
 	}
 	return l
 }
@@ -198,10 +207,16 @@
 	if l.b.Up != nil {
 		l.b.Up(l.address)
 	}
-	go l.probe()
+	go guard.Run("probe of a lender", l.b.Panicked, l.probe)
 	l.read()
 }
 
+func (b *Borrower) malformed(err error) {
+	if b.Malformed != nil {
+		b.Malformed("lender", err)
+	}
+}
+
 // drop forgets the link; the next borrower opens another.
 func (l *link) drop() {
 	l.b.mu.Lock()
@@ -219,8 +234,9 @@
 		if err != nil {
 			return
 		}
-		var a response
-		if cbor.Unmarshal(body, &a) != nil {
+		a, err := decodeResponse(body)
+		if err != nil {
+			l.b.malformed(err)
 			return
 		}
 		l.mu.Lock()
@@ -231,7 +247,7 @@
 		case ch != nil:
 			ch <- a
 		case a.Handle != 0:
-			go l.giveBack(a.Handle)
+			go guard.Run("return of a loan", l.b.Panicked, func() { l.giveBack(a.Handle) })
 		}
 	}
 }
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -8,9 +8,9 @@
 	"sync"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 )
 
 // maxMessage bounds a message between hosts: a statement's 1 MiB and the rest.
@@ -59,15 +59,16 @@
 		if err != nil {
 			return
 		}
-		var q request
-		if cbor.Unmarshal(body, &q) != nil {
+		q, err := decodeRequest(body)
+		if err != nil {
+			l.Engine.Malformed("borrower", err)
 			return
 		}
 		if q.Verb == verbReturn {
-			go d.giveBack(q.Handle)
+			d.start(func() { d.giveBack(q.Handle) })
 			continue
 		}
-		go d.serve(q)
+		d.start(func() { d.serve(q) })
 	}
 }
 
@@ -77,10 +78,18 @@
 	defer d.mu.Unlock()
 	d.closed = true
 	for handle := range d.loans {
-		go d.giveBack(handle)
+		d.start(func() { d.giveBack(handle) })
 	}
 }
 
+// start runs a task of a link. One that panics ends the link with what was lent.
+func (d *debtor) start(f func()) {
+	go guard.Run("link of a borrower", func(task, cause string) {
+		d.lender.Engine.Panicked(task, cause)
+		d.ws.CloseNow()
+	}, f)
+}
+
 // giveBack ends a loan whose transaction the borrower did not end.
 func (d *debtor) giveBack(handle uint64) {
 	if ln := d.take(handle); ln != nil {
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -168,8 +168,12 @@
 		return &engine.Conn{
 			Close: func() { p.closed.Add(1) },
 			Do: func(_ time.Time, ops ...engine.Op) ([]engine.Outcome, error) {
-				if ops[0].Text == "hang" {
+				switch ops[0].Text {
+				case "hang":
 					<-p.hang
+				case "panic":
+					// The code that takes the answer relies on one.
+					return nil, nil
 				}
 				o := engine.Outcome{Rows: []string{ops[0].Text}, Digest: "d"}
 				p.mu.Lock()
@@ -349,3 +353,72 @@
 		t.Errorf("a host that is gone gives %v", err)
 	}
 }
+
+// TestMalformedMessages checks that no message of another host ends the process,
+// and that an answer which cannot be right promises nothing.
+func TestMalformedMessages(t *testing.T) {
+	requests := map[string]request{
+		"a read without a request":   {Verb: verbRun, Group: "g", Endpoint: "m", Fresh: &fresh{MaxAgeMS: 1}},
+		"a verb that is not known":   {Verb: 99},
+		"a time that overflows":      {Verb: verbRun, UntilMS: 1 << 62, Ops: []op{{}}},
+		"a request of no known kind": {Verb: verbRun, Ops: []op{{Kind: 250}}},
+	}
+	for name, q := range requests {
+		body, err := encode(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := decodeRequest(body); !errors.Is(err, errMalformed) {
+			t.Errorf("%s gives %v", name, err)
+		}
+	}
+	responses := map[string]response{
+		"a code that is not known":  {Code: 200},
+		"an outcome without a code": {Outcomes: []outcome{{Code: 77}}},
+		"a state that is not known": {Outcomes: []outcome{{State: 9}}},
+		"a role that is not known":  {Outcomes: []outcome{{Report: &report{Role: 8}}}},
+	}
+	for name, a := range responses {
+		body, err := encode(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := decodeResponse(body); !errors.Is(err, errMalformed) {
+			t.Errorf("%s gives %v", name, err)
+		}
+	}
+}
+
+// FuzzMessages checks the same for messages of any kind.
+func FuzzMessages(f *testing.F) {
+	for _, v := range []any{request{Verb: verbRun, Ops: []op{{Text: "READ 7"}}}, response{Outcomes: []outcome{{}}, Known: &known{}}} {
+		body, err := encode(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		if q, err := decodeRequest(body); err == nil {
+			q.call()
+		}
+		if a, err := decodeResponse(body); err == nil {
+			engineOutcomes(a.Outcomes)
+			a.Known.knowledge()
+			_ = a.err()
+		}
+	})
+}
+
+// TestPanicEndsOneLink checks that an unexpected error at the lender ends the link
+// on which it happened and leaves the write in doubt, and that the host lends on.
+func TestPanicEndsOneLink(t *testing.T) {
+	p := newPair(t)
+	_, _, err := p.run(0, time.Second, engine.Want{}, engine.Op{Text: "panic", Commits: true})
+	if err == nil || !engine.Sent(err) {
+		t.Errorf("a call that ends by a panic gives %v, want an error and that it may have been sent", err)
+	}
+	if _, _, err := p.run(0, time.Second, engine.Want{}, engine.Op{Text: "READ 7"}); err != nil {
+		t.Errorf("the next call gives %v", err)
+	}
+}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -1,6 +1,8 @@
 package lending
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +12,9 @@
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
+// longestCall bounds the time that a borrower may name for a call.
+const longestCall = time.Hour
+
 // verb is what a borrower asks.
 type verb uint8
 
@@ -162,6 +167,48 @@
 
 func encode(v any) ([]byte, error) { return cbor.Marshal(v) }
 
+var errMalformed = errors.New("malformed message")
+
+// decodeRequest reads what a borrower asks. Times that count from now on must not
+// overflow, and a call has something to run.
+func decodeRequest(body []byte) (request, error) {
+	var q request
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return q, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	if q.Verb > verbTell || q.Verb == verbRun && q.Fresh != nil && len(q.Ops) == 0 {
+		return q, fmt.Errorf("%w: verb %d with %d requests", errMalformed, q.Verb, len(q.Ops))
+	}
+	for _, ms := range []int64{q.UntilMS, q.AnswerMS} {
+		if ms > longestCall.Milliseconds() {
+			return q, fmt.Errorf("%w: a call of %d ms", errMalformed, ms)
+		}
+	}
+	for _, o := range q.Ops {
+		if o.Kind > engine.OpDemote {
+			return q, fmt.Errorf("%w: request of kind %d", errMalformed, o.Kind)
+		}
+	}
+	return q, nil
+}
+
+// decodeResponse reads what a lender answers.
+func decodeResponse(body []byte) (response, error) {
+	var a response
+	if err := cbor.Unmarshal(body, &a); err != nil {
+		return a, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	if !a.Code.Valid() {
+		return a, fmt.Errorf("%w: code %d", errMalformed, a.Code)
+	}
+	for _, o := range a.Outcomes {
+		if !o.Code.Valid() || !o.State.Valid() || o.Report != nil && !o.Report.Role.Valid() {
+			return a, fmt.Errorf("%w: outcome with code %d and state %d", errMalformed, o.Code, o.State)
+		}
+	}
+	return a, nil
+}
+
 func wireOps(ops []engine.Op) []op {
 	out := make([]op, len(ops))
 	for i, o := range ops {
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -132,11 +132,18 @@
 // store for too long, or this one is to hear from another.
 func (l *Link) read(ctx context.Context, ws *websocket.Conn, address string) (was bool, err error) {
 	var lostAt time.Time
+	worthy := false
 	for {
 		m, err := next(ctx, ws)
 		if err != nil {
 			return was, fmt.Errorf("feed of %s: %w", address, err)
 		}
+		if !worthy && !m.Current && !l.Feed.Lost() {
+			// A host that has lost the store may tell of servers that have left since. It
+			// is better than nothing only where this one does not reach the store either.
+			return was, errLost
+		}
+		worthy = true
 		if m.Update != nil {
 			l.Feed.Take(*m.Update)
 			continue
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -8,6 +8,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 )
 
 const (
@@ -61,11 +63,11 @@
 	h := &hearer{queue: make(chan []byte, maxQueue), close: cancel}
 	f.greet(h, hi)
 	defer f.forsake(h)
-	go func() {
+	go guard.Run("link of a hearing host", nil, func() {
 		// Nothing more is read, but the end of the link is noticed.
 		defer cancel()
 		_, _, _ = ws.Read(ctx)
-	}()
+	})
 	f.write(ctx, ws, h)
 }
 
@@ -84,12 +86,15 @@
 func (f *Feed) greet(h *hearer, hi hello) {
 	f.taking.Lock()
 	defer f.taking.Unlock()
+	beat := encode(message{Current: f.current()})
+	// The first one tells what the rows are worth, the last one that they are whole.
+	h.send(beat)
 	for _, name := range f.Tables {
 		if u, ok := f.since(name, hi.Versions[name]); ok {
 			h.send(encode(message{Update: &u}))
 		}
 	}
-	h.send(encode(message{Current: f.current()}))
+	h.send(beat)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.heard == nil {
--- a/internal/replicaset/member.go
+++ b/internal/replicaset/member.go
@@ -31,9 +31,15 @@
 
 // String names the role.
 func (r Role) String() string {
+	if !r.Valid() {
+		return "invalid"
+	}
 	return [...]string{"unknown", "primary", "replica"}[r]
 }
 
+// Valid reports whether the role is one of those above.
+func (r Role) Valid() bool { return r <= Replica }
+
 // Member is one registered endpoint of a group.
 type Member struct {
 	ID      EndpointID
