A lender without a free connection says so, and who would wait too long for one is refused at once

The borrowers were told 'link broke', held that against the primary, and the group did not count as pressed, so that no replica that lags took over. Change: a failure of its own for it; a connection that does not become free in time counts as overload; behind more than can be served in time nobody waits. Tests: TestLenderHasNoneFree, TestPoolTurnsAway.

--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -117,6 +117,13 @@
 	return g.wait(e, rest)
 }
 
+// serves reports whether that many requests are expected to be served in time.
+func (g *gate) serves(requests int, until time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Duration(float64(g.service)*float64(requests)/g.limit) <= until.Sub(g.now())
+}
+
 func (g *gate) wait(e *entrant, rest time.Duration) error {
 	t := time.NewTimer(rest)
 	defer t.Stop()
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -27,8 +27,12 @@
 // the endpoint.
 var ErrUnreached = errors.New("the lending host does not reach the endpoint")
 
-// ErrFull says that no connection to an endpoint is to be had.
-var ErrFull = errFull
+// ErrFull says that no connection to an endpoint is to be had, and ErrNoConnection
+// that none became free in time.
+var (
+	ErrFull         = errFull
+	ErrNoConnection = errNoConnection
+)
 
 // ErrNoProof says that nothing shows that a primary still leads.
 var ErrNoProof = errNoProof
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -109,7 +109,12 @@
 		return nil, errFull
 	}
 	w := &waiter{ready: make(chan grant, 1), class: class}
-	p.push(w)
+	ahead := p.push(w)
+	if p.gate != nil && !p.gate.serves(ahead+1, deadline) {
+		p.drop(w)
+		p.mu.Unlock()
+		return nil, errOverloaded
+	}
 	p.mu.Unlock()
 	return p.wait(w, deadline, class)
 }
@@ -135,7 +140,8 @@
 	return nil, errFull
 }
 
-func (p *pool) push(w *waiter) {
+// push adds a waiter by its class and returns how many come before it.
+func (p *pool) push(w *waiter) int {
 	i := len(p.waiting)
 	for i > 0 && p.waiting[i-1].class > w.class {
 		i--
@@ -143,11 +149,16 @@
 	p.waiting = append(p.waiting, nil)
 	copy(p.waiting[i+1:], p.waiting[i:])
 	p.waiting[i] = w
+	return i
 }
 
 func (p *pool) remove(w *waiter) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.drop(w)
+}
+
+func (p *pool) drop(w *waiter) bool {
 	for i, o := range p.waiting {
 		if o == w {
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -100,6 +100,36 @@
 	}
 }
 
+// TestPoolTurnsAway answers the load of a primary that all reads fall to: those who
+// wait for a connection are refused at once when more wait than it can serve, and
+// the group counts as pressed.
+func TestPoolTurnsAway(t *testing.T) {
+	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
+	p.gate = newGate(p.now, 1)
+	p.gate.service = 100 * time.Millisecond
+	for range 2 {
+		if _, err := p.own(now.Add(time.Second), classRead, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	results := make(chan error, 40)
+	for range cap(results) {
+		go func() {
+			_, err := p.own(now.Add(time.Second), classRead, nil)
+			results <- err
+		}()
+	}
+	// 1 s is enough for twenty of 100 ms, two at a time.
+	for range cap(results) - 20 {
+		if err := <-results; !errors.Is(err, errOverloaded) {
+			t.Fatalf("who waits behind more than can be served gets %v", err)
+		}
+	}
+	if _, _, waiting := p.load(); waiting != 20 {
+		t.Errorf("%d wait, want 20", waiting)
+	}
+}
+
 // TestPoolLeavesReserve answers the power loss of all hosts: what they had open
 // holds its place at the endpoints for seconds, and hosts that start again find
 // none left if each had kept its whole share.
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -151,6 +151,10 @@
 	id := p.member.ID
 	switch {
 	case notTried(err):
+		if errors.Is(err, errNoConnection) {
+			// All connections are taken by those who use the endpoint: too much for it.
+			g.Overloaded(e.Boot(), id)
+		}
 		e.event(Event{Group: g.Name, Endpoint: id, Decision: "no_connection", Reason: err.Error()})
 		return
 	case !errors.Is(err, os.ErrDeadlineExceeded) || g.Silent(e.Boot(), id):
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -126,6 +126,8 @@
 		return engine.NotSent(engine.ErrUnreached)
 	case failNoPosition:
 		return engine.NotSent(engine.ErrNoPosition)
+	case failNoConnection:
+		return engine.NotSent(engine.ErrNoConnection)
 	case failNotSent:
 		return engine.NotSent(errLinkBroken)
 	}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -201,6 +201,8 @@
 		return response{Failure: failNoPosition}
 	case errors.Is(err, engine.ErrOverloaded):
 		return response{Failure: failOverloaded}
+	case errors.Is(err, engine.ErrNoConnection):
+		return response{Failure: failNoConnection}
 	case errors.Is(err, engine.ErrFull):
 		return response{Failure: failFull}
 	case !engine.Sent(err):
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -422,3 +422,19 @@
 		t.Errorf("the next call gives %v", err)
 	}
 }
+
+// TestLenderHasNoneFree answers a lender whose connections are all in transactions:
+// the borrower was told that the link broke, and held it against the endpoint.
+func TestLenderHasNoneFree(t *testing.T) {
+	p := newPair(t)
+	for {
+		_, _, err := p.run(0, 50*time.Millisecond, engine.Want{}, engine.Op{Kind: engine.OpBegin})
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, engine.ErrNoConnection) && !errors.Is(err, engine.ErrOverloaded) || engine.Sent(err) {
+			t.Errorf("with all connections in transactions a call gives %v", err)
+		}
+		return
+	}
+}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -51,6 +51,8 @@
 	failNoPosition
 	// failUnreached says that the lender does not reach the endpoint.
 	failUnreached
+	// failNoConnection says that no connection became free in time.
+	failNoConnection
 )
 
 type request struct {
