Where no replica answers, the store's record proves the lead; a switch that cannot end is not begun

One group is split: its primary and most hosts on one side, its replicas, the store and one host on the other, and a third replica was lost before. That host recorded a switch that could not end, since a replica that may hold commits was gone: 2.6 s in which nobody uses the primary, again and again. Readers on the other side have no replica to ask for a proof. Change: a switch is begun only when all replicas answer and none that may hold commits is missing. Where no replica gives its word, the record in the store does: a switch is recorded before replicas are paused. Tests: TestSwitchThatCannotEnd (red before), TestProofByRecord; model: LATE_CLAIM.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -34,6 +34,9 @@
 	// Borrow runs a call over a connection of another host, in the transaction that
 	// the handle names, 0 for none.
 	Borrow func(address string, m replicaset.Member, handle uint64, call Call) (FarAnswer, error)
+	// Recorded reads the recorded leadership of a group in the store, version 0 if
+	// there is none; the answer is not older than the instant it returns.
+	Recorded func(g session.Group) (lead replicaset.Lead, readAt replicaset.Instant, err error)
 	// Learn asks another host what it knows of a group.
 	Learn func(address string, g session.Group, until time.Time) (replicaset.Knowledge, error)
 	// Warm opens the way to another host ahead of demand.
--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -111,7 +111,27 @@
 			return errors.Join(errNoProof, e.learnTerm(g, lead, c))
 		}
 	}
-	return errNoProof
+	return e.recorded(g, lead)
+}
+
+// recorded proves by the store that the primary leads, where no replica does. A
+// switch is recorded before replicas are paused, so that a record which shows none
+// is worth as much as the word of a replica that is not paused.
+func (e *Engine) recorded(g *group, lead replicaset.Lead) error {
+	if e.Recorded == nil {
+		return errNoProof
+	}
+	current, readAt, err := e.Recorded(g.Name)
+	if err != nil {
+		e.event(Event{Group: g.Name, Endpoint: lead.ID, Decision: "proof_failed", Reason: err.Error()})
+		return errors.Join(errNoProof, err)
+	}
+	if current.Switching || current.Version != lead.Version || current.Version != 0 && current.ID != lead.ID {
+		e.event(Event{Group: g.Name, Endpoint: lead.ID, Decision: "proof_refused", Reason: "the store records another state of the group"})
+		return errNoProof
+	}
+	g.Prove(lead, readAt)
+	return nil
 }
 
 // confirm asks the primary itself after a replica said that it follows it: a
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -110,6 +111,43 @@
 	}
 }
 
+// TestProofByRecord answers a primary whose replicas are both out of reach: reads
+// go on there while the store shows that no switch has begun.
+func TestProofByRecord(t *testing.T) {
+	lead := replicaset.Lead{ID: "old", Term: 1, Version: 7}
+	switching, newer := lead, lead
+	switching.Switching = true
+	newer.Version = 8
+	tests := []struct {
+		name     string
+		recorded replicaset.Lead
+		err      error
+		proved   bool
+	}{
+		{"no switch has begun", lead, nil, true},
+		{"a switch has begun", switching, nil, false},
+		{"the record is newer than what this host knows", newer, nil, false},
+		{"the store is away", replicaset.Lead{}, errors.New("timeout"), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := replicaset.Instant(time.Minute)
+			e := reporters(&now, nil)
+			e.Dial = func(context.Context, replicaset.Member) (*Conn, error) { return nil, errors.New("i/o timeout") }
+			readAt := now.Add(-200 * time.Millisecond)
+			e.Recorded = func(session.Group) (replicaset.Lead, replicaset.Instant, error) { return tt.recorded, readAt, tt.err }
+			g := e.group("g")
+			g.SetLead(1, lead)
+			if err := e.prove(g, g.Lead(), now, nil); (err == nil) != tt.proved {
+				t.Fatalf("prove gives %v, want proved %t", err, tt.proved)
+			}
+			if g.Proved(readAt.Add(ProofTime+1), ProofTime) {
+				t.Error("the proof is taken for younger than the reading")
+			}
+		})
+	}
+}
+
 // TestProofOverOwnConnection answers the load after the restart of all hosts, when
 // a primary has no connection left: a reader that has one asks over it. Where the
 // term was not known either, each question waited for a connection that only its
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -311,7 +312,7 @@
 		}
 		long := reason == reasonGone || reason == reasonSilent && now.Sub(silent) >= deadAfter ||
 			reason == reasonStuck && now.Sub(stuck) >= stuckAfter
-		if long && rest >= unheardAfter {
+		if long && rest >= unheardAfter && m.canEnd(set, lead, v) {
 			return true
 		}
 		if !sleep(ctx, surveyEvery-now.Sub(asked)) {
@@ -321,6 +322,27 @@
 	return false
 }
 
+// canEnd reports whether a switch could come to its end: each replica that may hold
+// the only other copy of a commit has to answer. One that cannot would only keep
+// everybody from a primary that may live where other hosts reach it.
+func (m *Manager) canEnd(set *replicaset.Set, lead replicaset.Lead, v view) bool {
+	replicas := 0
+	for _, o := range set.Members() {
+		if o.ID != lead.ID {
+			replicas++
+		}
+	}
+	missing := 0
+	if m.Engine.Policy(set.Name).Synchronous {
+		missing = set.Missing(m.Engine.Boot())
+	}
+	if len(v.received) == replicas && missing == 0 {
+		return true
+	}
+	m.event(set.Name, lead.ID, "switch_held_back", fmt.Sprintf("%d of %d replicas answer, %d more may hold commits", len(v.received), replicas, missing))
+	return false
+}
+
 // answers notes that a suspected primary answers.
 func (m *Manager) answers(g session.Group) {
 	m.mu.Lock()
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -280,7 +280,7 @@
 			w := newWorld()
 			m, set := w.manager(t)
 			tt.change(w)
-			set.Avoid(m.Engine.Boot(), "p")
+			set.Avoid(m.Engine.Boot().Add(-time.Second), "p")
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
 			if got := m.unheard(ctx, set, set.Lead(), reasonSilent); got != tt.dead {
@@ -455,3 +455,38 @@
 		t.Errorf("a primary may not be relieved %s after it was recorded", relieveEvery)
 	}
 }
+
+// TestSwitchThatCannotEnd answers a group that is split: a host that reaches neither
+// the primary nor one of the replicas recorded a switch, which kept all others from
+// a primary that they reached, until it gave up, again and again.
+func TestSwitchThatCannotEnd(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(w *world, set *replicaset.Set)
+	}{
+		{"a replica does not answer", func(w *world, _ *replicaset.Set) { w.silent["b"] = true }},
+		{"a replica is gone with its log", func(_ *world, set *replicaset.Set) {
+			m, _ := set.Member("b")
+			m.Started = 2
+			set.Register(replicaset.Instant(time.Minute), m)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld()
+			m, set := w.manager(t)
+			w.silent["p"] = true
+			tt.change(w, set)
+			set.Avoid(m.Engine.Boot().Add(-time.Second), "p")
+			ctx, cancel := context.WithTimeout(context.Background(), deadAfter+2*unheardAfter+3*surveyEvery)
+			defer cancel()
+			m.handle(ctx, set, set.Lead(), reasonSilent)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if len(w.changes) != 0 {
+				t.Errorf("a switch is recorded: %+v", w.changes)
+			}
+		})
+	}
+}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -66,7 +66,7 @@
   breaks template.pml -D$guard
 done
 holds switch.pml
-for guard in NO_PAUSE ONE_PAUSE ANY_REPLICA NO_WAIT NO_MISSING NO_AHEAD NO_DEMOTE NO_WORD RESTART; do
+for guard in NO_PAUSE ONE_PAUSE ANY_REPLICA NO_WAIT NO_MISSING NO_AHEAD NO_DEMOTE NO_WORD LATE_CLAIM RESTART; do
   breaks switch.pml -D$guard
 done
 echo "the models hold, and every guard is needed"
--- a/spec/switch.pml
+++ b/spec/switch.pml
@@ -13,6 +13,7 @@
  *   NO_AHEAD      pause for the next term only: the promotion ends the pause, and
  *                 a replica that has not heard of it follows the old primary again
  *   NO_DEMOTE     resume the other replica without demoting the old primary
+ *   LATE_CLAIM    record the switch only once the proofs have run out
  *   NO_WORD       take a replica's word without that of the primary itself
  *   RESTART       not a guard but an assumption: no replica restarts between
  *                 its pause and the promotion, for it would forget the pause
@@ -34,6 +35,7 @@
 bool proof = false;   /* some host holds a proof that counts */
 bool effective = false;
 bool announced = false;
+bool claimed = false; /* the store records that the group is switching */
 bool demoted = false; /* the old primary says that it leads no more */
 bool missing = false; /* a replica that is gone may hold the only copy */
 bool reborn = false;
@@ -55,6 +57,8 @@
        assert(!effective || got[chosen] >= acked) }
   :: atomic { /* prove: a replica's word, then that of the primary */
        PRIMARY_WORD && ((follows[1] && !paused[1]) || (follows[2] && !paused[2])) -> proof = true }
+  :: atomic { /* prove by the store, where no replica answers */
+       !claimed -> proof = true }
   :: atomic { /* a read of the latest state at the old primary */
        proof -> assert(!announced) }
   :: atomic { /* a replica comes back without its log */
@@ -72,6 +76,9 @@
   byte candidate = 1;
   byte other = 2;
   window = true;
+#ifndef LATE_CLAIM
+  claimed = true;
+#endif
 #ifndef NO_PAUSE
   paused[1] = true;
 #ifndef ONE_PAUSE
@@ -112,6 +119,9 @@
 #endif
 #ifndef NO_WAIT
   proof = false;
+#endif
+#ifdef LATE_CLAIM
+  claimed = true;
 #endif
   paused[other] = false;
   announced = true;
