A host is ready, and lends, once it knows all that the store tells

Cause: a host that starts while a primary is being replaced could know the registrations, but not yet that a switch is recorded, and used whatever member said that it leads; one that had just started was asked for connections to endpoints that it did not know, and answered 'wrong endpoint'.

--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -20,7 +20,8 @@
 // borrowers open their links on.
 type Lender struct {
 	Engine *engine.Engine
-	// Away reports that this host lends nothing new, because it stops.
+	// Away reports that this host lends nothing new, because it stops, or because it
+	// has just started and does not know the endpoints yet.
 	Away func() bool
 }
 
