--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -41,6 +41,7 @@
 
 // Records are the operations on the store. They are safe for concurrent use.
 type Records struct {
+	// Read also brings the members of all groups up to date.
 	Read func(ctx context.Context) (State, error)
 	// Write returns the version of what it wrote, or ErrConflict.
 	Write func(ctx context.Context, c Change) (uint64, error)
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -331,6 +331,7 @@
 	time.Sleep(50 * time.Millisecond)
 	p.b.mu.Lock()
 	for _, l := range p.b.links {
+		<-l.ready
 		l.cancel()
 	}
 	p.b.mu.Unlock()
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -47,10 +47,19 @@
 	from, version Version
 	rows          map[string]Row
 	gone          int
-	// lost is set while this host's own way to the store is broken.
-	lost bool
+	way           way
 }
 
+// way is a host's own way to the store, for one table.
+type way uint8
+
+const (
+	// wayUnknown is that of a host that does not follow the store.
+	wayUnknown way = iota
+	wayOpen
+	wayLost
+)
+
 // Feed is what one host knows of the store. It serves other hosts as an
 // http.Handler. Exported fields are set before its first use.
 type Feed struct {
@@ -207,36 +216,57 @@
 	return rows
 }
 
-// SetLost notes whether this host's own way to the store is broken for a table.
-func (f *Feed) SetLost(name Table, lost bool) {
+// SetReached notes whether the last own call to the store for a table was answered.
+func (f *Feed) SetReached(name Table, reached bool) {
+	if reached {
+		f.setWay(name, wayOpen)
+	} else {
+		f.setWay(name, wayLost)
+	}
+}
+
+// Unfollow notes that this host does not follow the store any more.
+func (f *Feed) Unfollow() {
+	for _, name := range f.Tables {
+		f.setWay(name, wayUnknown)
+	}
+}
+
+func (f *Feed) setWay(name Table, w way) {
+	current, lost := f.current(), f.Lost()
 	f.mu.Lock()
-	t := f.table(name)
-	changed := t.lost != lost
-	t.lost = lost
+	f.table(name).way = w
 	f.mu.Unlock()
-	if changed {
+	if f.current() != current || f.Lost() != lost {
 		f.beat()
 	}
 }
 
+// LostTable reports whether this host's own way to the store is broken for a table.
+func (f *Feed) LostTable(name Table) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table(name).way == wayLost
+}
+
 // Lost reports whether this host's own way to the store is broken for some table.
 func (f *Feed) Lost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range f.tables {
-		if t.lost {
+		if t.way == wayLost {
 			return true
 		}
 	}
 	return false
 }
 
-// current reports whether this host follows all tables without a loss.
+// current reports whether this host follows all tables, and was answered last.
 func (f *Feed) current() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range f.Tables {
-		if t := f.table(name); t.lost || t.version == 0 {
+		if t := f.table(name); t.way != wayOpen || t.version == 0 {
 			return false
 		}
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -21,9 +21,11 @@
 	// retryFirst and retryLast bound the pause after all relays failed.
 	retryFirst = 100 * time.Millisecond
 	retryLast  = 2 * time.Second
-	// lostFor is how long a relay may be without the store before another one is
-	// tried.
-	lostFor = 700 * time.Millisecond
+	// findTime is how long a host that is asked may take to find the store, and to
+	// tell what it knows.
+	findTime = 700 * time.Millisecond
+	// avoidFor is how long a host that has lost the store is asked last.
+	avoidFor = 3 * time.Second
 	// grace is how long a host without a link looks for another one before it follows
 	// the store itself.
 	grace = time.Second
@@ -50,6 +52,10 @@
 	// Event reports a link that stands, with a nil error, or that ended.
 	Event func(address string, err error)
 
+	// avoided are the hosts that had lost the store, and until when they are left
+	// alone. It is used by Run alone.
+	avoided map[string]time.Time
+
 	current atomic.Bool
 	// endedAt is when the link was current last, in Unix ns, 0 before that.
 	endedAt atomic.Int64
@@ -68,7 +74,7 @@
 func (l *Link) Run(ctx context.Context) {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		relays, _ := l.Relays()
+		relays, _ := l.choices()
 		if len(relays) == 0 {
 			rest(ctx, idleCheck)
 			continue
@@ -87,6 +93,33 @@
 	}
 }
 
+// avoid leaves a host that has lost the store alone for a while.
+func (l *Link) avoid(address string) {
+	if l.avoided == nil {
+		l.avoided = make(map[string]time.Time)
+	}
+	l.avoided[address] = time.Now().Add(avoidFor)
+}
+
+// choices returns the hosts to hear from, those that are avoided last, and which of
+// them are meant to be heard.
+func (l *Link) choices() (all, first []string) {
+	relays, n := l.Relays()
+	var last []string
+	now := time.Now()
+	for i, address := range relays {
+		switch {
+		case now.Before(l.avoided[address]):
+			last = append(last, address)
+			continue
+		case i < n:
+			first = append(first, address)
+		}
+		all = append(all, address)
+	}
+	return append(all, last...), first
+}
+
 // hear takes what one host tells until the link ends. It reports whether that
 // host was current at all.
 func (l *Link) hear(ctx context.Context, address string) bool {
@@ -129,23 +162,32 @@
 }
 
 // read takes messages until the link is silent, the other host is without the
-// store for too long, or this one is to hear from another.
+// store, or this one is to hear from another.
 func (l *Link) read(ctx context.Context, ws *websocket.Conn, address string) (was bool, err error) {
-	var lostAt time.Time
-	worthy := false
+	began := time.Now()
+	// held is what the other host told while it was not current. It may tell of
+	// servers that have left, which is better than nothing only for a host that does
+	// not reach the store itself.
+	var held []Update
 	for {
 		m, err := next(ctx, ws)
 		if err != nil {
 			return was, fmt.Errorf("feed of %s: %w", address, err)
 		}
-		if !worthy && !m.Current && !l.Feed.Lost() {
-			// A host that has lost the store may tell of servers that have left since. It
-			// is better than nothing only where this one does not reach the store either.
-			return was, errLost
+		u, err := m.unpack()
+		if err != nil {
+			return was, fmt.Errorf("feed of %s: %w", address, err)
 		}
-		worthy = true
-		if m.Update != nil {
-			l.Feed.Take(*m.Update)
+		if u != nil {
+			held = append(held, *u)
+		}
+		if was || m.Current || l.Feed.Lost() {
+			for _, u := range held {
+				l.Feed.Take(u)
+			}
+			held = nil
+		}
+		if u != nil {
 			continue
 		}
 		current := m.Current && l.Feed.Known()
@@ -153,16 +195,12 @@
 			was = true
 			l.Event(address, nil)
 		}
-		switch {
-		case current:
-			lostAt = time.Time{}
-		case lostAt.IsZero():
-			lostAt = time.Now()
-		case time.Since(lostAt) >= lostFor:
+		lost := m.Lost && !l.Feed.Lost()
+		if !current && (was || lost || time.Since(began) >= findTime) {
+			l.avoid(address)
 			return was, errLost
 		}
-		relays, first := l.Relays()
-		if current && !slices.Contains(relays[:min(first, len(relays))], address) {
+		if _, first := l.choices(); current && len(first) > 0 && !slices.Contains(first, address) {
 			return was, errMoved
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -157,6 +157,8 @@
 	first, second, host := newTold(), newTold(), newTold()
 	first.Take(whole(3, "a"))
 	second.Take(whole(3, "a"))
+	first.SetReached("servers", true)
+	second.SetReached("servers", true)
 	one, stopOne := first.serve(t)
 	two, _ := second.serve(t)
 	var mu sync.Mutex
@@ -190,27 +192,139 @@
 	second.Take(delta(4, 5, "c"))
 	stopOne()
 	eventually(t, "the other host is heard", func() bool { return host.keys() == "a b c" && l.current.Load() })
-	second.SetLost("servers", true)
+	second.SetReached("servers", false)
 	eventually(t, "the host notices that the other one has lost the store", func() bool { return !l.Current() })
-	second.SetLost("servers", false)
+	second.SetReached("servers", true)
 	second.Take(delta(5, 6, "-a"))
 	eventually(t, "the host hears again", func() bool { return host.keys() == "b c" && l.current.Load() })
 	cancel()
 	<-done
 }
 
+// TestBothRelaysLost answers a region that is cut off from the store with both hosts
+// that follow it (grown Relojeros, scale-1, seed 755034039204: CONFIG, LOST). Who
+// heard from them went round between these and a third host, which did not follow the
+// store and yet counted as current, and did not follow the store either.
+func TestBothRelaysLost(t *testing.T) {
+	var addresses []string
+	var spare *told
+	for i := range 3 {
+		d := newTold()
+		d.Take(whole(3, "a"))
+		if i < 2 {
+			d.SetReached("servers", false)
+		} else {
+			spare = d
+		}
+		address, _ := d.serve(t)
+		addresses = append(addresses, address)
+	}
+	host := newTold()
+	var mu sync.Mutex
+	heard := 0
+	l := &Link{
+		Feed: host.Feed, DialContext: (&net.Dialer{}).DialContext, Up: func(string) {}, Down: func(string) {},
+		Relays: func() ([]string, int) { return addresses, 2 },
+		Event: func(_ string, err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				heard++
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	eventually(t, "the third host is asked", func() bool { return spare.Hearers() > 0 })
+	if l.current.Load() {
+		t.Error("a host that does not follow the store counts as current")
+	}
+	spare.SetReached("servers", true)
+	spare.Take(delta(3, 4, "b"))
+	eventually(t, "the third host is heard", func() bool { return l.Current() && host.keys() == "a b" })
+	time.Sleep(beatEvery + beatEvery/2)
+	mu.Lock()
+	defer mu.Unlock()
+	if heard != 1 || !l.current.Load() {
+		t.Errorf("the link was taken up %d times, want once", heard)
+	}
+}
+
+// TestHearsOnlyFromCurrent answers a host that starts beside one that lost the store
+// a while ago, or does not follow it yet: it takes nothing from that one before it is
+// current, unless it does not reach the store itself.
+func TestHearsOnlyFromCurrent(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprintf("own way lost %t", lost), func(t *testing.T) {
+			other, host := newTold(), newTold()
+			other.Take(whole(3, "left-since"))
+			address, _ := other.serve(t)
+			if lost {
+				host.SetReached("servers", false)
+			}
+			l := &Link{
+				Feed: host.Feed, DialContext: (&net.Dialer{}).DialContext, Event: func(string, error) {}, Up: func(string) {}, Down: func(string) {},
+				Relays: func() ([]string, int) { return []string{address}, 1 },
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go l.Run(ctx)
+			eventually(t, "the host asks", func() bool { return other.Hearers() > 0 })
+			if lost {
+				eventually(t, "the host takes what there is", func() bool { return host.keys() == "left-since" })
+				return
+			}
+			time.Sleep(findTime)
+			if host.keys() != "" || l.current.Load() {
+				t.Errorf("the host takes %q from one that is not current", host.keys())
+			}
+			other.Take(whole(4, "new"))
+			other.SetReached("servers", true)
+			eventually(t, "the host hears", func() bool { return host.keys() == "new" && l.Current() })
+		})
+	}
+}
+
+// TestPack answers a change of a large configuration, which goes to every host of a
+// fleet: it takes a part of its size, and arrives whole.
+func TestPack(t *testing.T) {
+	for _, size := range []int{0, packFrom - 1, packFrom, 300 << 10} {
+		u := whole(3, "config")
+		u.Rows[0].Value = []byte(strings.Repeat(`{"host":"d-17","timeout-ms":900}`, size/32+1)[:size])
+		body := encode(pack(u))
+		if size > packFrom && len(body) > size/4 {
+			t.Errorf("an update of %d bytes takes %d", size, len(body))
+		}
+		var m message
+		if err := decode(body, &m); err != nil {
+			t.Fatal(err)
+		}
+		got, err := m.unpack()
+		if err != nil || string(got.Rows[0].Value) != string(u.Rows[0].Value) || got.Version != 3 {
+			t.Errorf("an update of %d bytes does not arrive whole: %v", size, err)
+		}
+	}
+}
+
 // FuzzMessage checks that no message from another host ends the process.
 func FuzzMessage(f *testing.F) {
 	u := whole(3, "a", "-b")
 	f.Add(encode(message{Update: &u}))
+	large := whole(3, "a")
+	large.Rows[0].Value = make([]byte, packFrom)
+	f.Add(encode(pack(large)))
+	f.Add(encode(message{Packed: []byte{1, 2, 3}}))
 	f.Add(encode(message{Current: true}))
 	f.Add(encode(hello{Versions: map[Table]Version{"servers": 4}}))
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		d := newTold()
 		var m message
-		if decode(body, &m) == nil && m.Update != nil {
-			d.Take(*m.Update)
-			d.since("servers", 1)
+		if decode(body, &m) == nil {
+			if u, err := m.unpack(); err == nil && u != nil {
+				d.Take(*u)
+				d.since("servers", 1)
+			}
 		}
 		var hi hello
 		_ = decode(body, &hi)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -25,6 +28,8 @@
 	maxQueue = 256
 	// maxMessage bounds a message, in bytes: a table whole.
 	maxMessage = 16 << 20
+	// packFrom is the size of the values, in bytes, from which an update is deflated.
+	packFrom = 1 << 10
 )
 
 // hello opens a link: what the hearing host knows already.
@@ -33,12 +38,15 @@
 	Versions map[Table]Version
 }
 
-// message is an update, or else a sign of life.
+// message is an update, plain or packed, or else a sign of life.
 type message struct {
 	_      struct{} `cbor:",toarray"`
 	Update *Update
-	// Current tells whether the sender follows the store without a loss.
-	Current bool
+	// Packed is a large update, encoded and deflated.
+	Packed []byte
+	// Current tells whether the sender follows the store, and Lost that it tries to and
+	// gets no answer.
+	Current, Lost bool
 }
 
 // hearer is a host that hears from this one.
@@ -86,12 +94,12 @@
 func (f *Feed) greet(h *hearer, hi hello) {
 	f.taking.Lock()
 	defer f.taking.Unlock()
-	beat := encode(message{Current: f.current()})
+	beat := encode(f.state())
 	// The first one tells what the rows are worth, the last one that they are whole.
 	h.send(beat)
 	for _, name := range f.Tables {
 		if u, ok := f.since(name, hi.Versions[name]); ok {
-			h.send(encode(message{Update: &u}))
+			h.send(encode(pack(u)))
 		}
 	}
 	h.send(beat)
@@ -120,7 +128,7 @@
 			return
 		case body = <-h.queue:
 		case <-t.C:
-			body = encode(message{Current: f.current()})
+			body = encode(f.state())
 		}
 		limit, cancel := context.WithTimeout(ctx, writeTimeout)
 		err := ws.Write(limit, websocket.MessageBinary, body)
@@ -140,11 +148,14 @@
 
 // tell queues an update for all hearers.
 func (f *Feed) tell(u Update) {
-	f.broadcast(message{Update: &u})
+	f.broadcast(pack(u))
 }
 
 // beat tells all hearers whether this host follows the store.
-func (f *Feed) beat() { f.broadcast(message{Current: f.current()}) }
+func (f *Feed) beat() { f.broadcast(f.state()) }
+
+// state is the message that tells how this host follows the store.
+func (f *Feed) state() message { return message{Current: f.current(), Lost: f.Lost()} }
 
 func (f *Feed) broadcast(m message) {
 	f.mu.Lock()
@@ -176,6 +187,44 @@
 	return body
 }
 
+// pack returns the message for an update. Large ones are deflated: the configuration of
+// a fleet is some hundred KiB, and goes to every host.
+func pack(u Update) message {
+	size := 0
+	for _, r := range u.Rows {
+		size += len(r.Value)
+	}
+	if size < packFrom {
+		return message{Update: &u}
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err == nil {
+		_, err = w.Write(encode(u))
+	}
+	if err == nil {
+		err = w.Close()
+	}
+	if err != nil {
+		// Nothing that writes to memory fails; the plain update serves as well.
+		return message{Update: &u}
+	}
+	return message{Packed: b.Bytes()}
+}
+
+// unpack returns the update of a message, or nil.
+func (m message) unpack() (*Update, error) {
+	if m.Packed == nil {
+		return m.Update, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.Packed)), maxMessage))
+	if err != nil {
+		return nil, fmt.Errorf("message of another host: %w", err)
+	}
+	var u Update
+	return &u, decode(body, &u)
+}
+
 func decode(body []byte, v any) error {
 	if err := cbor.Unmarshal(body, v); err != nil {
 		return fmt.Errorf("message of another host: %w", err)
