One pause that a context ends; resuming replicas has a file of its own

No change of behaviour: three copies of the same wait are one; the part of a switch that brings replicas under the new primary, and the tests of suspicion, have files of their own.

--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/guard"
+	"github.com/cumintrestle/cumintrestle/internal/pause"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -243,7 +244,7 @@
 
 // handle confirms a suspicion and switches.
 func (m *Manager) handle(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) {
-	if !sleep(ctx, m.stagger(set, lead)) {
+	if !pause.For(ctx, m.stagger(set, lead)) {
 		return
 	}
 	if set.Lead().Version != lead.Version || m.suspicion(set, lead) == "" {
@@ -315,7 +316,7 @@
 		if long && rest >= unheardAfter && m.canEnd(set, lead, v) {
 			return true
 		}
-		if !sleep(ctx, surveyEvery-now.Sub(asked)) {
+		if !pause.For(ctx, surveyEvery-now.Sub(asked)) {
 			return false
 		}
 	}
@@ -387,14 +388,3 @@
 func (m *Manager) event(g session.Group, id replicaset.EndpointID, decision, reason string) {
 	m.Engine.Event(engine.Event{Failover: true, Group: g, Endpoint: id, Decision: decision, Reason: reason, Age: m.Engine.Group(g).ProofAge(m.Engine.Boot())})
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/pause"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -34,10 +34,6 @@
 	// that has not heard of the new primary would follow the old one again, and
 	// prove that it leads.
 	pauseAhead = 2
-	// resumeTries and resumeEvery bound the tries to resume a replica that does not
-	// answer after a switch.
-	resumeTries = 40
-	resumeEvery = 500 * time.Millisecond
 )
 
 var (
@@ -148,7 +144,7 @@
 
 // replace makes another member the primary.
 func (r *run) replace(ctx context.Context) (replicaset.Lead, error) {
-	if r.reason == reasonDraining && !sleep(ctx, settleTime) {
+	if r.reason == reasonDraining && !pause.For(ctx, settleTime) {
 		return replicaset.Lead{}, ctx.Err()
 	}
 	if lead, ok := r.already(ctx); ok {
@@ -183,7 +179,7 @@
 // awaitProofs waits until no proof from before the pause counts any more.
 func (r *run) awaitProofs(ctx context.Context, paused replicaset.Instant) {
 	if d := engine.ProofTime + engine.ProofMargin - r.Engine.Boot().Sub(paused); d > 0 {
-		sleep(ctx, d)
+		pause.For(ctx, d)
 	}
 }
 
@@ -239,7 +235,7 @@
 		if len(reports) == len(replicas) && len(replicas) > 0 && missing == 0 {
 			return reports, nil
 		}
-		if r.Engine.Boot().Sub(began) > gatherTime || !sleep(ctx, pollEvery) {
+		if r.Engine.Boot().Sub(began) > gatherTime || !pause.For(ctx, pollEvery) {
 			return nil, fmt.Errorf("%d of %d replicas answer, %d more may hold commits", len(reports), len(replicas), missing)
 		}
 	}
@@ -320,7 +316,7 @@
 			<-demoted
 			return lead, err
 		}
-		if !sleep(ctx, pollEvery) {
+		if !pause.For(ctx, pollEvery) {
 			break
 		}
 	}
@@ -351,7 +347,7 @@
 		if ok && st.Role == replicaset.Primary && st.Term > before.Term {
 			return replicaset.Lead{ID: member.ID, Term: st.Term}, nil
 		}
-		if !sleep(ctx, pollEvery) {
+		if !pause.For(ctx, pollEvery) {
 			break
 		}
 	}
@@ -372,7 +368,7 @@
 			return
 		}
 		r.event(r.set.Name, lead.ID, "record_failed", err.Error())
-		if !sleep(ctx, pollEvery) {
+		if !pause.For(ctx, pollEvery) {
 			return
 		}
 	}
@@ -412,40 +408,3 @@
 	defer r.mu.Unlock()
 	return r.switching > 1
 }
-
-// demote tells the old primary that it lost the lead, which it also finds out by
-// itself once it reaches the new one. Replicas are resumed after it: until they
-// hear of the new primary, they say that they follow the old one.
-func (r *run) demote(ctx context.Context, term session.Term) {
-	if old, ok := r.set.Member(r.old.ID); ok {
-		r.ask(ctx, []replicaset.Member{old}, engine.Op{Kind: engine.OpDemote, Term: term})
-	}
-}
-
-// followers are the replicas that were paused and are to follow the new primary.
-func (r *run) followers(next replicaset.Lead) []replicaset.Member {
-	return slices.DeleteFunc(r.replicas(), func(m replicaset.Member) bool { return m.ID == next.ID })
-}
-
-// resume ends the pause of replicas and returns those that did not answer.
-func (r *run) resume(ctx context.Context, paused []replicaset.Member) []replicaset.Member {
-	resumed := r.ask(ctx, paused, engine.Op{Kind: engine.OpResume})
-	return slices.DeleteFunc(paused, func(m replicaset.Member) bool {
-		_, ok := resumed[m.ID]
-		return ok
-	})
-}
-
-// resumeRest goes on with replicas that did not answer, while the new primary
-// leads. Hosts that find one paused later resume it as well.
-func (r *run) resumeRest(ctx context.Context, next replicaset.Lead, paused []replicaset.Member) {
-	for range resumeTries {
-		if len(paused) == 0 || !sleep(ctx, resumeEvery) {
-			return
-		}
-		if lead := r.set.Lead(); lead.ID != next.ID || lead.Switching {
-			return
-		}
-		paused = r.resume(ctx, paused)
-	}
-}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/coder/websocket"
+
+	"github.com/cumintrestle/cumintrestle/internal/pause"
 )
 
 const (
@@ -72,24 +74,24 @@
 
 // Run keeps a link until the context ends.
 func (l *Link) Run(ctx context.Context) {
-	pause := retryFirst
+	wait := retryFirst
 	for ctx.Err() == nil {
 		relays, _ := l.choices()
 		if len(relays) == 0 {
-			rest(ctx, idleCheck)
+			pause.For(ctx, idleCheck)
 			continue
 		}
 		for _, address := range relays {
 			if l.hear(ctx, address) {
-				pause = retryFirst
+				wait = retryFirst
 				break
 			}
 			if ctx.Err() != nil {
 				return
 			}
 		}
-		rest(ctx, pause)
-		pause = min(2*pause, retryLast)
+		pause.For(ctx, wait)
+		wait = min(2*wait, retryLast)
 	}
 }
 
@@ -225,12 +227,3 @@
 	}
 	return m, decode(body, &m)
 }
-
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
