The ranking of hosts for an endpoint is kept until the hosts change

Each host asks five times a second for each endpoint who holds its connections, and each time hashed and sorted all hosts of the zone: endpoints times hosts. Change: the order is kept for each endpoint until the list of hosts changes; hosts that are down are left out when it is asked for. Test: TestRankingIsKept, red before (allocations of a known ranking).

--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -66,6 +66,16 @@
 	mu    sync.Mutex
 	peers []Peer
 	down  map[string]absence
+	// orders are the rankings that were asked for since the hosts changed last.
+	orders map[orderKey][]Peer
+}
+
+// orderKey names a ranking of the hosts of a zone, or of this host's region where
+// zone is empty.
+type orderKey struct {
+	zone string
+	key  replicaset.EndpointID
+	far  bool
 }
 
 // Set replaces the known hosts.
@@ -73,6 +83,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peers = append(r.peers[:0], peers...)
+	r.orders = nil
 }
 
 // Down notes that a host did not answer.
@@ -111,7 +122,7 @@
 	if maxConnections == 0 || len(r.peers) < 2 {
 		return nil, 0
 	}
-	addresses = r.ranked(r.candidates(m.Zone), m.ID)
+	addresses = r.ranked(orderKey{zone: m.Zone, key: m.ID})
 	holders = min(holdersPerEndpoint, len(addresses))
 	if holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1) {
 		addresses[0], addresses[1] = addresses[1], addresses[0]
@@ -119,32 +130,47 @@
 	return addresses, holders
 }
 
-// ranked returns the addresses of the hosts that are not down, ordered by their
-// score for a key; an empty one is this host.
-func (r *Ring) ranked(peers []Peer, key replicaset.EndpointID) []string {
-	type rank struct {
-		address string
-		score   float64
-	}
+// ranked returns the addresses of the hosts that are not down in the order of a
+// ranking; an empty one is this host.
+func (r *Ring) ranked(k orderKey) []string {
 	now := r.Now()
-	var ranks []rank
+	peers := r.order(k)
+	addresses := make([]string, 0, len(peers))
 	for _, p := range peers {
-		address := p.Address
 		if p.Name == r.Self {
-			address = ""
+			addresses = append(addresses, "")
+		} else if !now.Before(r.down[p.Address].until) {
+			addresses = append(addresses, p.Address)
 		}
-		if address == "" || !now.Before(r.down[address].until) {
-			ranks = append(ranks, rank{address, score(p, key)})
-		}
-	}
-	sort.Slice(ranks, func(i, j int) bool { return ranks[i].score > ranks[j].score })
-	addresses := make([]string, len(ranks))
-	for i, k := range ranks {
-		addresses[i] = k.address
 	}
 	return addresses
 }
 
+// order returns the hosts of a ranking, the highest score first. Each endpoint's is
+// asked for several times a second, and stays until the hosts change.
+func (r *Ring) order(k orderKey) []Peer {
+	if order, ok := r.orders[k]; ok {
+		return order
+	}
+	var peers []Peer
+	if near, far := r.byRegion(); k.zone != "" {
+		peers = r.candidates(k.zone)
+	} else if peers = near; k.far {
+		peers = far
+	}
+	order := slices.Clone(peers)
+	scores := make(map[string]float64, len(order))
+	for _, p := range order {
+		scores[p.Name] = score(p, k.key)
+	}
+	sort.SliceStable(order, func(i, j int) bool { return scores[order[i].Name] > scores[order[j].Name] })
+	if r.orders == nil {
+		r.orders = make(map[orderKey][]Peer)
+	}
+	r.orders[k] = order
+	return order
+}
+
 // Relays returns the hosts that this one hears of the store from, the one that it
 // asks first at the start: hosts of its region, the first of which are meant to serve
 // the others. It returns none where this host is one of them, or where there are
@@ -152,14 +178,14 @@
 func (r *Ring) Relays(lost bool) (addresses []string, first int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	near, far := r.byRegion()
-	addresses = r.ranked(near, relayKey)
+	addresses = r.ranked(orderKey{key: relayKey})
 	if lost {
-		addresses = slices.DeleteFunc(append(addresses, r.ranked(far, relayKey)...), isSelf)
+		addresses = slices.DeleteFunc(append(addresses, r.ranked(orderKey{key: relayKey, far: true})...), isSelf)
 		n := min(len(addresses), maxRelays)
 		return addresses[:n], n
 	}
-	first = min(max(relaysPerRegion, (len(near)+hearersPerRelay-1)/hearersPerRelay), len(addresses))
+	near := len(r.order(orderKey{key: relayKey}))
+	first = min(max(relaysPerRegion, (near+hearersPerRelay-1)/hearersPerRelay), len(addresses))
 	if len(r.peers) < manyHosts || first == 0 || slices.ContainsFunc(addresses[:first], isSelf) {
 		return nil, 0
 	}
--- a/internal/lending/ring_test.go
+++ b/internal/lending/ring_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
 // TestRelays answers the load of a large fleet on the store: a few hosts of each
@@ -68,3 +70,30 @@
 		t.Errorf("a host that has lost the store hears from %v of two others", lost)
 	}
 }
+
+// TestRankingIsKept answers the load of hundreds of endpoints before hundreds of hosts:
+// who holds an endpoint's connections is asked several times a second for each of
+// them, and is worked out anew only when the hosts change.
+func TestRankingIsKept(t *testing.T) {
+	now := time.Unix(100, 0)
+	var peers []Peer
+	for i := range 60 {
+		peers = append(peers, Peer{Name: fmt.Sprintf("h-%d", i), Zone: "z", Address: fmt.Sprintf("a-%d", i), Weight: 0.2})
+	}
+	r := &Ring{Self: "h-0", Zone: "z", Now: func() time.Time { return now }}
+	r.Set(peers)
+	m := replicaset.Member{ID: "m", Zone: "z"}
+	first, _ := r.Lenders(m, 100)
+	if n := testing.AllocsPerRun(100, func() { r.Lenders(m, 100) }); n > 2 {
+		t.Errorf("%.0f allocations for a ranking that is known", n)
+	}
+	holder := slices.IndexFunc(first, func(a string) bool { return a != "" })
+	r.Down(first[holder])
+	if again, _ := r.Lenders(m, 100); slices.Contains(again, first[holder]) {
+		t.Error("a host that is down keeps its place in a ranking that is known")
+	}
+	r.Set(peers[:1])
+	if alone, holders := r.Lenders(m, 100); holders != 0 {
+		t.Errorf("after all others left, %v hold connections", alone)
+	}
+}
