Order the store's rows by era and version, in the feed, its relays and its readers

Cause: the feed compared versions of two eras. A whole table of the new era has a lower version and was discarded, while the follower took the read as a success and went on asking for changes after the old version. A version that is given out again was never delivered.

What changed: internal/revision defines which of two states of the store is newer, by era first. Tables, updates and subscriptions carry revisions; changes apply only in their own era; the estimate of the store's clock belongs to an era. Hosts subscribe at /feed/2, since messages differ: a host of an older release is passed over, not taken as down, and both follow the store meanwhile.

Ruled out: the operators' version as the cause (no ignored configuration in the log).

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -6,33 +6,32 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 )
 
 // Table names a table of the store.
 type Table string
 
-// Version is a version of the store. It increases with each transaction.
-type Version uint64
-
-// Row is one row of a table. Version is that of its last change.
+// Row is one row of a table. Version is that of its last change, in the era of the table.
 type Row struct {
 	_       struct{} `cbor:",toarray"`
 	Key     string
 	Value   []byte
-	Version Version
+	Version revision.Version
 	// Deleted marks a deleted row (a tombstone).
 	Deleted bool
 }
 
-// Update holds the rows of a table that changed between two versions.
+// Update holds the rows of a table that changed between two revisions of one era.
 type Update struct {
 	_     struct{} `cbor:",toarray"`
 	Table Table
-	// After is the version that the update starts from. If it is 0, Rows is the whole
+	// After is the revision that the update starts from. If it is zero, Rows is the whole
 	// table.
-	After Version
-	// Version is the version of the table once the update is applied.
-	Version Version
+	After revision.Revision
+	// Revision is that of the table once the update is applied.
+	Revision revision.Revision
 	// StoreNow is the store's clock at a time not later than when the update was sent.
 	StoreNow time.Duration
 	Rows     []Row
@@ -44,8 +43,10 @@
 
 // table is this host's copy of one table.
 type table struct {
-	// from is the oldest version from which the changes up to version can be listed.
-	from, version Version
+	// revision is that of the last update. The changes up to it can be listed from the
+	// version from on.
+	revision revision.Revision
+	from     revision.Version
 	// rows includes tombstones; tombstones is their number.
 	rows       map[string]Row
 	tombstones int
@@ -80,18 +81,20 @@
 	mu          sync.Mutex
 	tables      map[Table]*table
 	subscribers map[*subscriber]struct{}
-	// storeAhead is a lower bound of the store's clock minus BootTime.
+	// storeAhead is a lower bound of the store's clock minus BootTime, from readings of
+	// the era clockEra.
 	storeAhead time.Duration
+	clockEra   revision.Era
 	clockKnown bool
 }
 
 // Apply applies an update and passes it to OnUpdate and to the subscribers. It reports
-// false, and ignores the rows, if the update contains no newer version, or if it starts
-// after the table's version so that changes in between are missing.
+// false, and ignores the rows, if the update has no newer revision, or if changes before
+// it are missing: it starts after the table's revision, or in another era.
 func (f *Feed) Apply(u Update) bool {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	f.setClock(u.StoreNow)
+	f.setClock(u.Revision.Era, u.StoreNow)
 	if !f.merge(u) {
 		return false
 	}
@@ -101,12 +104,16 @@
 }
 
 // setClock updates the estimate of the store's clock from a reading. A reading is old
-// by the time it arrives, so the largest offset is the best lower bound.
-func (f *Feed) setClock(storeNow time.Duration) {
+// by the time it arrives, so the largest offset is the best lower bound. Each era has a
+// clock of its own.
+func (f *Feed) setClock(era revision.Era, storeNow time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ahead := storeNow - f.BootTime(); !f.clockKnown || ahead > f.storeAhead {
-		f.storeAhead, f.clockKnown = ahead, true
+	if f.clockKnown && era < f.clockEra {
+		return
+	}
+	if ahead := storeNow - f.BootTime(); !f.clockKnown || era > f.clockEra || ahead > f.storeAhead {
+		f.storeAhead, f.clockEra, f.clockKnown = ahead, era, true
 	}
 }
 
@@ -138,17 +145,28 @@
 	return t
 }
 
-// merge applies an update to the rows and reports whether it did. An update that starts
-// from version 0 replaces the whole table.
+// follows reports whether an update can be applied to the table.
+func (t *table) follows(u Update) bool {
+	switch {
+	case !t.revision.Less(u.Revision):
+		return false
+	case u.After.IsZero():
+		return true
+	}
+	return t.rows != nil && u.After.Era == t.revision.Era && u.Revision.Era == t.revision.Era && u.After.Version <= t.revision.Version
+}
+
+// merge applies an update to the rows and reports whether it did. An update that holds
+// the whole table replaces all rows.
 func (f *Feed) merge(u Update) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.table(u.Table)
-	if u.Version <= t.version || u.After > t.version || u.After != 0 && t.rows == nil {
+	if !t.follows(u) {
 		return false
 	}
-	if u.After == 0 {
-		t.rows, t.tombstones, t.from = make(map[string]Row, len(u.Rows)), 0, u.Version
+	if u.After.IsZero() {
+		t.rows, t.tombstones, t.from = make(map[string]Row, len(u.Rows)), 0, u.Revision.Version
 	}
 	for _, r := range u.Rows {
 		if t.rows[r.Key].Deleted {
@@ -159,7 +177,7 @@
 		}
 		t.rows[r.Key] = r
 	}
-	t.version = u.Version
+	t.revision = u.Revision
 	t.dropTombstones()
 	return true
 }
@@ -170,14 +188,14 @@
 		return
 	}
 	maps.DeleteFunc(t.rows, func(_ string, r Row) bool { return r.Deleted })
-	t.tombstones, t.from = 0, t.version
+	t.tombstones, t.from = 0, t.revision.Version
 }
 
-// Version returns the version of a table, 0 if nothing of it has been received.
-func (f *Feed) Version(name Table) Version {
+// Revision returns the revision of a table, zero if nothing of it has been received.
+func (f *Feed) Revision(name Table) revision.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table(name).version
+	return f.table(name).revision
 }
 
 // Rows returns the rows of a table without tombstones, ordered by key.
@@ -190,31 +208,37 @@
 // Complete reports whether all tables have been received.
 func (f *Feed) Complete() bool {
 	for _, name := range f.Tables {
-		if f.Version(name) == 0 {
+		if f.Revision(name).IsZero() {
 			return false
 		}
 	}
 	return true
 }
 
-// updateSince returns the update of a table since a version, and false if the table is
-// not newer. The update holds the whole table if older changes are no longer known.
-func (f *Feed) updateSince(name Table, after Version) (Update, bool) {
+// updateSince returns the update of a table since a revision, and false if the table is
+// not newer. The update holds the whole table if the revision is of another era, or if
+// older changes are no longer known.
+func (f *Feed) updateSince(name Table, after revision.Revision) (Update, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.table(name)
-	if t.version <= after {
+	if !after.Less(t.revision) {
 		return Update{}, false
 	}
-	if after < t.from {
-		after = 0
+	if after.Era != t.revision.Era || after.Version < t.from {
+		after = revision.Revision{}
+	}
+	u := Update{Table: name, After: after, Revision: t.revision, Rows: t.rowsSince(after.Version)}
+	// A reading of another era's clock says nothing about the era of the rows.
+	if f.clockEra == t.revision.Era {
+		u.StoreNow = f.storeNow()
 	}
-	return Update{Table: name, After: after, Version: t.version, StoreNow: f.storeNow(), Rows: t.rowsSince(after)}, true
+	return u, true
 }
 
 // rowsSince returns the rows that changed after a version, including tombstones, ordered
 // by key. After version 0 it returns all rows without tombstones.
-func (t *table) rowsSince(after Version) []Row {
+func (t *table) rowsSince(after revision.Version) []Row {
 	var rows []Row
 	for _, r := range t.rows {
 		if after == 0 && !r.Deleted || after != 0 && r.Version > after {
@@ -280,7 +304,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, name := range f.Tables {
-		if t := f.table(name); t.store != storeReachable || t.version == 0 {
+		if t := f.table(name); t.store != storeReachable || t.revision.IsZero() {
 			return false
 		}
 	}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -13,6 +13,7 @@
 	"github.com/coder/websocket"
 
 	"github.com/cumintrestle/cumintrestle/internal/pause"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 )
 
 const (
@@ -41,6 +42,8 @@
 var (
 	errPreferredRelay  = errors.New("a preferred relay is available")
 	errRelayNotCurrent = errors.New("relay is not current with the store")
+	// errOtherProtocol reports a host of a release whose messages differ.
+	errOtherProtocol = errors.New("relay does not serve " + Path)
 )
 
 // Link subscribes a host's feed to that of another host, its relay. The exported
@@ -134,7 +137,11 @@
 func (l *Link) followRelay(ctx context.Context, address string) bool {
 	ws, err := l.dial(ctx, address)
 	if err != nil {
-		l.OnDown(address)
+		if errors.Is(err, errOtherProtocol) {
+			l.avoid(address)
+		} else {
+			l.OnDown(address)
+		}
 		l.OnEvent(address, err)
 		return false
 	}
@@ -146,23 +153,26 @@
 	return wasCurrent
 }
 
-// dial opens a link and sends the versions of this host's tables.
+// dial opens a link and sends the revisions of this host's tables.
 func (l *Link) dial(ctx context.Context, address string) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, setupTimeout)
 	defer cancel()
-	ws, resp, err := websocket.Dial(ctx, "ws://"+address+"/feed", &websocket.DialOptions{
+	ws, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
 		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.DialContext}},
 	})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
 	}
 	if err != nil {
+		if resp != nil && resp.StatusCode == http.StatusNotFound {
+			err = errOtherProtocol
+		}
 		return nil, fmt.Errorf("feed of %s: %w", address, err)
 	}
 	ws.SetReadLimit(maxMessage)
-	hi := hello{Versions: make(map[Table]Version)}
+	hi := hello{Revisions: make(map[Table]revision.Revision)}
 	for _, name := range l.Feed.Tables {
-		hi.Versions[name] = l.Feed.Version(name)
+		hi.Revisions[name] = l.Feed.Revision(name)
 	}
 	if err := ws.Write(ctx, websocket.MessageBinary, encode(hi)); err != nil {
 		ws.CloseNow()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 )
 
 // recordingFeed is a feed that records the updates passed to OnUpdate, with a settable
@@ -42,10 +44,18 @@
 	return strings.Join(keys, " ")
 }
 
-func fullUpdate(v Version, keys ...string) Update { return delta(0, v, keys...) }
+func fullUpdate(v revision.Version, keys ...string) Update { return fullUpdateIn(1, v, keys...) }
+
+func fullUpdateIn(era revision.Era, v revision.Version, keys ...string) Update {
+	u := deltaIn(era, 0, v, keys...)
+	u.After = revision.Revision{}
+	return u
+}
 
-func delta(after, v Version, keys ...string) Update {
-	u := Update{Table: "servers", After: after, Version: v}
+func delta(after, v revision.Version, keys ...string) Update { return deltaIn(1, after, v, keys...) }
+
+func deltaIn(era revision.Era, after, v revision.Version, keys ...string) Update {
+	u := Update{Table: "servers", After: revision.Revision{Era: era, Version: after}, Revision: revision.Revision{Era: era, Version: v}}
 	for _, k := range keys {
 		key, deleted := strings.CutPrefix(k, "-")
 		u.Rows = append(u.Rows, Row{Key: key, Version: v, Deleted: deleted})
@@ -69,6 +79,12 @@
 		{"changes before the whole table", []Update{delta(2, 6, "b"), fullUpdate(7, "a")}, "a"},
 		{"changes that overlap", []Update{fullUpdate(3, "a"), delta(3, 6, "b"), delta(5, 8, "c")}, "a b c"},
 		{"a row comes back", []Update{fullUpdate(3, "a"), delta(3, 4, "-a"), delta(4, 5, "a")}, "a"},
+		{"the store comes back from a copy", []Update{fullUpdate(9, "a", "b"), fullUpdateIn(2, 4, "a")}, "a"},
+		{"a version is given out again", []Update{fullUpdate(9, "a"), fullUpdateIn(2, 4, "a"), deltaIn(2, 4, 9, "c")}, "a c"},
+		{"an answer of an earlier era comes late", []Update{fullUpdate(3, "a"), fullUpdateIn(2, 4, "b"), fullUpdate(9, "a"), delta(3, 9, "c")}, "b"},
+		{"changes of a new era before its whole table", []Update{fullUpdate(3, "a"), deltaIn(2, 3, 4, "b"), fullUpdateIn(2, 5, "b", "c")}, "b c"},
+		{"changes that begin in the era before", []Update{fullUpdate(3, "a"), {Table: "servers", After: revision.Revision{Era: 1, Version: 3}, Revision: revision.Revision{Era: 2, Version: 4}}}, "a"},
+		{"two copies, the second one first", []Update{fullUpdate(9, "a"), fullUpdateIn(3, 5, "c"), fullUpdateIn(2, 7, "b")}, "c"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -90,21 +106,24 @@
 	d.Apply(fullUpdate(3, "a", "b"))
 	d.Apply(delta(3, 5, "-a", "c"))
 	for _, tt := range []struct {
-		after, from Version
+		era         revision.Era
+		after, from revision.Version
 		rows        int
-	}{{0, 0, 2}, {2, 0, 2}, {3, 3, 2}, {4, 4, 2}} {
-		u, ok := d.updateSince("servers", tt.after)
-		if !ok || u.After != tt.from || len(u.Rows) != tt.rows || u.Version != 5 {
+	}{{1, 0, 0, 2}, {1, 2, 0, 2}, {1, 3, 3, 2}, {1, 4, 4, 2}, {0, 4, 0, 2}} {
+		u, ok := d.updateSince("servers", revision.Revision{Era: tt.era, Version: tt.after})
+		if !ok || u.After.Version != tt.from || len(u.Rows) != tt.rows || u.Revision.Version != 5 {
 			t.Errorf("after %d: %t %+v, want %d rows after %d", tt.after, ok, u, tt.rows, tt.from)
 		}
 	}
-	if u, ok := d.updateSince("servers", 5); ok {
-		t.Errorf("a host that is up to date gets %+v", u)
+	for _, at := range []revision.Revision{{Era: 1, Version: 5}, {Era: 2, Version: 4}} {
+		if u, ok := d.updateSince("servers", at); ok {
+			t.Errorf("a host that is up to date gets %+v", u)
+		}
 	}
 	for i := range maxTombstones + 1 {
-		d.Apply(delta(Version(5+i), Version(6+i), fmt.Sprintf("-x%d", i)))
+		d.Apply(delta(revision.Version(5+i), revision.Version(6+i), fmt.Sprintf("-x%d", i)))
 	}
-	if u, _ := d.updateSince("servers", 5); u.After != 0 {
+	if u, _ := d.updateSince("servers", revision.Revision{Era: 1, Version: 5}); !u.After.IsZero() {
 		t.Errorf("tombstones were dropped, but a host that lacks them gets only the changes after %d", u.After)
 	}
 }
@@ -123,12 +142,21 @@
 	if got := d.StoreNow(); got != 8*time.Second {
 		t.Errorf("StoreNow is %s, want 8s", got)
 	}
+	restored := fullUpdateIn(2, 2)
+	restored.StoreNow = 3 * time.Second
+	d.Apply(restored)
+	old := fullUpdate(9)
+	old.StoreNow = 20 * time.Second
+	d.Apply(old)
+	if got := d.StoreNow(); got != 3*time.Second {
+		t.Errorf("StoreNow is %s after the store has come back with its clock at 3s", got)
+	}
 }
 
 // serve serves a feed to subscribers until stop is called.
 func (d *recordingFeed) serve(t *testing.T) (address string, stop func()) {
 	mux := http.NewServeMux()
-	mux.Handle("GET /feed", d.Feed)
+	mux.Handle("GET "+Path, d.Feed)
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
 	return srv.Listener.Addr().String(), func() {
@@ -303,7 +331,7 @@
 			t.Fatal(err)
 		}
 		got, err := m.unpack()
-		if err != nil || string(got.Rows[0].Value) != string(u.Rows[0].Value) || got.Version != 3 {
+		if err != nil || string(got.Rows[0].Value) != string(u.Rows[0].Value) || got.Revision.Version != 3 {
 			t.Errorf("an update of %d bytes is changed by encoding and decoding: %v", size, err)
 		}
 	}
@@ -318,14 +346,14 @@
 	f.Add(encode(pack(large)))
 	f.Add(encode(message{Packed: []byte{1, 2, 3}}))
 	f.Add(encode(message{Current: true}))
-	f.Add(encode(hello{Versions: map[Table]Version{"servers": 4}}))
+	f.Add(encode(hello{Revisions: map[Table]revision.Revision{"servers": {Era: 1, Version: 4}}}))
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		d := newRecordingFeed()
 		var m message
 		if decode(body, &m) == nil {
 			if u, err := m.unpack(); err == nil && u != nil {
 				d.Apply(*u)
-				d.updateSince("servers", 1)
+				d.updateSince("servers", revision.Revision{Era: 1, Version: 1})
 			}
 		}
 		var hi hello
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cumintrestle/cumintrestle/internal/guard"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 )
 
 const (
@@ -33,10 +34,14 @@
 	compressThreshold = 1 << 10
 )
 
-// hello is the first message of a subscriber: the versions of the tables it has.
+// Path is where a host serves its feed. It ends with the version of the messages: hosts
+// of releases with other messages don't subscribe to each other, but follow the store.
+const Path = "/feed/2"
+
+// hello is the first message of a subscriber: the revisions of the tables it has.
 type hello struct {
-	_        struct{} `cbor:",toarray"`
-	Versions map[Table]Version
+	_         struct{} `cbor:",toarray"`
+	Revisions map[Table]revision.Revision
 }
 
 // message is an update, plain or compressed, or else a heartbeat with the sender's
@@ -103,7 +108,7 @@
 	// that all of them have been sent.
 	s.send(heartbeat)
 	for _, name := range f.Tables {
-		if u, ok := f.updateSince(name, hi.Versions[name]); ok {
+		if u, ok := f.updateSince(name, hi.Revisions[name]); ok {
 			s.send(encode(pack(u)))
 		}
 	}
--- /dev/null
+++ b/internal/revision/revision.go
@@ -0,0 +1,44 @@
+// Package revision orders the states of the platform's store.
+//
+// The store numbers its transactions with versions. When it comes back from a copy, what
+// it acknowledged after the copy was made is gone, versions continue from that of the copy
+// and are given out again, and a new era begins. A version therefore says which of two
+// states is newer only within one era. Everything that is kept from the store, or written
+// to it under a condition, is ordered by Revision instead.
+//
+// A row of the first state seen in a new era may be older than a row known from an
+// earlier era, because it comes from the copy. Whoever keeps such rows compares them by
+// the order of their writer as well: the operators' number of a configuration, the start
+// and sequence number of an endpoint, the term of a primary.
+//
+// # Usage
+//
+//	known := revision.Revision{Era: 1, Version: 40}
+//	read := revision.Revision{Era: 2, Version: 17}
+//	newer := known.Less(read) // true
+package revision
+
+// Era counts how often the store has come back from a copy.
+type Era uint64
+
+// Version numbers the transactions of one era. It increases with each of them.
+type Version uint64
+
+// Revision is a state of the store, or the state in which a row was last written. The zero
+// Revision is before all others.
+type Revision struct {
+	_       struct{} `cbor:",toarray"`
+	Era     Era
+	Version Version
+}
+
+// Less reports whether r is before o.
+func (r Revision) Less(o Revision) bool {
+	if r.Era != o.Era {
+		return r.Era < o.Era
+	}
+	return r.Version < o.Version
+}
+
+// IsZero reports whether r is the zero Revision.
+func (r Revision) IsZero() bool { return r == Revision{} }
