Leads, the promotion lease and fencing tokens survive a store that comes back from a copy

Hosts that start after the restore would use the primary of the promotion before for good.

What changed: - A record from a copy does not lower the term of a known primary. A host that knows of the later promotion writes its record again; a host that does not finds it by the terms that members report (reason 'superseded'). The recorded primary is read like a replica then, since it may hold the only copy of a commit. - The fencing token contains the era and the version that was read, and is above the stored one. - No host promotes in an era before it is open: a row era/N, written once every host that may hold a lost lease has stopped to promote. A promote call needs the store to have shown the lease at most 1 s before, so that 2.25 s are enough; that row is also a condition of each write, so that a late transaction of an earlier era fails. - A record proves that a primary leads only if it was written after the era was opened, or has the term that all members reported then.

--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -114,6 +114,7 @@
 		if leftPaused(lead, st) {
 			e.spawn("resume replica", func() { e.resumeReplica(m) })
 		}
+		g.ReportTerm(st.Term)
 		if lead.Version == 0 && st.Term > lead.Term {
 			return errors.Join(errNoProof, e.learnTerm(g, lead, c))
 		}
@@ -134,7 +135,7 @@
 		e.emit(Event{Group: g.Name, Endpoint: lead.ID, Decision: "proof_failed", Reason: err.Error()})
 		return errors.Join(errNoProof, err)
 	}
-	if current.Switching || current.Version != lead.Version || current.Version != 0 && current.ID != lead.ID {
+	if current.Switching || current.Revision() != lead.Revision() || current.Term != lead.Term || current.Version != 0 && current.ID != lead.ID {
 		e.emit(Event{Group: g.Name, Endpoint: lead.ID, Decision: "proof_refused", Reason: "the store records another state of the group"})
 		return errNoProof
 	}
@@ -216,7 +217,7 @@
 		})
 	}
 	wg.Wait()
-	found := replicaset.Lead{Version: lead.Version}
+	found := replicaset.Lead{Era: lead.Era, Version: lead.Version}
 	for i, st := range reports {
 		if st.Role == replicaset.Primary && st.Term > found.Term {
 			found.ID, found.Term = members[i].ID, st.Term
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -400,9 +400,9 @@
 			last = o
 		}
 		s.emitRetry(q, m, o, err)
-		if err == nil && o.Code == ReadOnly && lead.Version == 0 {
+		if err == nil && o.Code == ReadOnly {
 			// Another member may lead by now; the request for a proof finds the
-			// new primary.
+			// new primary, or that its promotion is not recorded.
 			if err := s.e.prove(g, lead, s.e.BootTime(), nil); err != nil {
 				s.emitRetry(q, m, last, err)
 			}
--- /dev/null
+++ b/internal/failover/era.go
@@ -0,0 +1,163 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/engine"
+	"github.com/cumintrestle/cumintrestle/internal/guard"
+	"github.com/cumintrestle/cumintrestle/internal/pause"
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// eraSettleTime is how long a host waits after it first saw an era before it opens it.
+	// The holder of a lease that the store has lost saw it there before any host saw the new
+	// era, so that no promote call of such a holder is in flight any more.
+	eraSettleTime = leaseProofTime + promoteTimeout + eraSettleMargin
+	// eraSettleMargin is for the time between the last check of a lease and the call.
+	eraSettleMargin = 250 * time.Millisecond
+	// eraRetryInterval is the pause after a failed attempt to open an era.
+	eraRetryInterval = time.Second
+	// maxEraStagger bounds the random delay that keeps hosts from opening an era all at once.
+	maxEraStagger = 2 * time.Second
+)
+
+// eraState is what a host knows of the store's era.
+type eraState struct {
+	era   revision.Era
+	known bool
+	// openAt is when this host opens the era, unless another host has.
+	openAt replicaset.Instant
+	// openedAt is the version of the record that opens the era, 0 if there is none. Leases
+	// and switches that were recorded before it are over.
+	openedAt revision.Version
+	// opening is set while this host opens the era.
+	opening bool
+}
+
+// observe takes in the era of a state. It returns false if the state is of an earlier era.
+func (s *eraState) observe(st State, now replicaset.Instant) bool {
+	if s.known && st.Revision.Era < s.era {
+		return false
+	}
+	if !s.known || st.Revision.Era > s.era {
+		*s = eraState{era: st.Revision.Era, known: true, openAt: now.Add(eraSettleTime), opening: s.opening}
+	}
+	s.openedAt = max(s.openedAt, st.opening().Version)
+	return true
+}
+
+// over reports whether a lease or switch of the given revision ended before the era was
+// opened.
+func (s *eraState) over(at revision.Revision) bool {
+	return s.openedAt != 0 && at.Less(revision.Revision{Era: s.era, Version: s.openedAt})
+}
+
+// due reports whether this host is to open the era.
+func (s *eraState) due(now replicaset.Instant) bool {
+	return s.known && s.openedAt == 0 && !s.opening && now >= s.openAt
+}
+
+// checkEra opens the store's era in the background once no earlier lease can be in force.
+func (m *Manager) checkEra(ctx context.Context) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.era.due(m.Engine.BootTime()) {
+		return
+	}
+	m.era.opening = true
+	spread := min(time.Duration(m.hostCount+1)*staggerPerHost, maxEraStagger)
+	m.wg.Add(1)
+	go guard.Run("opening of an era", m.Engine.ReportPanic, func() {
+		defer m.wg.Done()
+		defer m.endOpening()
+		m.openEra(ctx, rand.N(spread))
+	})
+}
+
+func (m *Manager) endOpening() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era.opening = false
+	m.era.openAt = max(m.era.openAt, m.Engine.BootTime().Add(eraRetryInterval))
+}
+
+// eraToOpen returns the era that this host knows, false if it is open.
+func (m *Manager) eraToOpen() (revision.Era, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era.era, m.era.openedAt == 0
+}
+
+// openEra records the opening of the store's era after a delay, unless another host has
+// recorded it meanwhile.
+func (m *Manager) openEra(ctx context.Context, delay time.Duration) {
+	era, closed := m.eraToOpen()
+	for end := m.Engine.BootTime().Add(delay); m.Engine.BootTime() < end; {
+		if !pause.For(ctx, min(checkInterval, end.Sub(m.Engine.BootTime()))) {
+			return
+		}
+		if era, closed = m.eraToOpen(); !closed {
+			return
+		}
+	}
+	readAt := m.Engine.BootTime()
+	st, err := m.Store.Read(ctx)
+	if err != nil {
+		m.event("", "", "era_not_opened", err.Error())
+		return
+	}
+	m.Observe(st, readAt)
+	if st.Revision.Era != era || st.opening().Version != 0 {
+		return
+	}
+	if err := m.Store.OpenEra(ctx, st, m.confirmTerms(ctx)); err != nil && !errors.Is(err, ErrConflict) {
+		m.event("", "", "era_not_opened", err.Error())
+	}
+}
+
+// confirmTerms returns the term of each group whose members all report it.
+func (m *Manager) confirmTerms(ctx context.Context) map[session.Group]session.Term {
+	terms := make(map[session.Group]session.Term)
+	for _, set := range m.Engine.Groups() {
+		members := set.Members()
+		reports := m.controlAll(ctx, members, engine.Op{Kind: engine.OpStatus})
+		if len(members) == 0 || len(reports) != len(members) {
+			continue
+		}
+		term, leads := session.Term(0), false
+		for _, st := range reports {
+			if st.Term >= term {
+				leads = st.Role == replicaset.Primary || leads && st.Term == term
+				term = st.Term
+			}
+		}
+		if leads {
+			terms[set.Name] = term
+		}
+	}
+	return terms
+}
+
+// recordAgain records the known primary of a group whose record the store has lost.
+func (m *Manager) recordAgain(ctx context.Context, set *replicaset.Set) {
+	st, err := m.Store.Read(ctx)
+	lead := set.Lead()
+	if err == nil && (!set.RecordOutdated() || lead.Switching || st.Leads[set.Name].Revision() != lead.Revision()) {
+		return
+	}
+	if err == nil {
+		r := &replacement{Manager: m, set: set, old: lead, heldLease: Lease{Token: lead.Token}}
+		err = r.recordLead(ctx, st, lead)
+	}
+	if err != nil {
+		m.event(set.Name, lead.ID, "record_failed", err.Error())
+		return
+	}
+	m.event(set.Name, lead.ID, "recorded_again", "the store had lost the record of this primary")
+}
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -81,6 +81,7 @@
 	knownLease     Lease
 	storeReadAt    replicaset.Instant
 	storeTime      time.Duration
+	era            eraState
 	hostCount      int
 	wg             sync.WaitGroup
 }
@@ -100,15 +101,21 @@
 	m.hostCount = n
 }
 
-// ObserveLease updates the known lease and the store's clock, which was storeNow when this
-// host's clock was at readAt.
-func (m *Manager) ObserveLease(lease Lease, storeNow time.Duration, readAt replicaset.Instant) {
+// Observe updates the known lease, the era and the store's clock, which was st.Now when this
+// host's clock was at readAt. It ignores a state of an earlier era.
+func (m *Manager) Observe(st State, readAt replicaset.Instant) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if lease.Version >= m.knownLease.Version {
-		m.knownLease = lease
+	if !m.era.observe(st, m.Engine.BootTime()) {
+		return
+	}
+	if m.knownLease.Era < st.Revision.Era {
+		m.knownLease = Lease{Era: st.Revision.Era}
+	}
+	if !st.Lease.revision().Less(m.knownLease.revision()) {
+		m.knownLease = st.Lease
 	}
-	m.storeTime, m.storeReadAt = storeNow, readAt
+	m.storeTime, m.storeReadAt = st.Now, readAt
 }
 
 // storeNow estimates the store's clock from the last reading.
@@ -126,6 +133,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			m.checkEra(ctx)
 			for _, set := range m.Engine.Groups() {
 				m.checkGroup(ctx, set)
 			}
@@ -179,6 +187,10 @@
 	reasonDraining = "draining"
 	reasonGone     = "gone"
 	reasonOrphaned = "orphaned"
+	// reasonSuperseded means that a member is in a later term than the recorded primary.
+	reasonSuperseded = "superseded"
+	// reasonUnrecorded means that the store has lost the record of the primary.
+	reasonUnrecorded = "unrecorded"
 	// reasonOverloaded means that replicas lag too far for many reads, and that the primary
 	// cannot serve all of those.
 	reasonOverloaded = "pressed"
@@ -196,12 +208,16 @@
 	member, ok := set.Member(lead.ID)
 	silent, stuck := set.UnansweredSince()
 	switch {
+	case set.RecordOutdated():
+		return reasonUnrecorded
 	case !ok:
 		return reasonGone
 	case member.Draining && hasSuccessor(set, lead.ID):
 		return reasonDraining
 	case m.recentlyAlive(set.Name):
 		return ""
+	case set.Superseded():
+		return reasonSuperseded
 	case silent != 0 && now.Sub(silent) >= suspectAfter:
 		return reasonSilent
 	case stuck != 0 && now.Sub(stuck) >= stuckAfter:
@@ -240,15 +256,14 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.storeNow() > lead.Until+leaseMargin
+	return m.era.over(lead.Revision()) || m.storeNow() > lead.Until+leaseMargin
 }
 
-// leaseFree reports whether the promotion lease is free, has expired or is held by this
-// host.
+// leaseFree reports whether the promotion lease is free, has ended or is held by this host.
 func (m *Manager) leaseFree() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.knownLease.Holder == "" || m.knownLease.Holder == m.HostID || m.storeNow() > m.knownLease.Until+leaseMargin
+	return m.era.over(m.knownLease.revision()) || m.knownLease.Holder == "" || m.knownLease.Holder == m.HostID || m.storeNow() > m.knownLease.Until+leaseMargin
 }
 
 // confirmAndSwitch confirms a suspicion and replaces the primary, or ends an orphaned
@@ -257,10 +272,17 @@
 	if !pause.For(ctx, m.staggerDelay(set, lead)) {
 		return
 	}
-	if set.Lead().Version != lead.Version || m.suspicion(set, lead) == "" {
+	if set.Lead().Revision() != lead.Revision() || m.suspicion(set, lead) == "" {
 		return
 	}
 	switch reason {
+	case reasonSuperseded:
+		if m.finishSwitch(ctx, set, lead) || !m.confirmFailure(ctx, set, lead, reason) {
+			return
+		}
+	case reasonUnrecorded:
+		m.recordAgain(ctx, set)
+		return
 	case reasonSilent, reasonStuck, reasonGone:
 		if !m.confirmFailure(ctx, set, lead, reason) {
 			return
@@ -274,8 +296,8 @@
 			return
 		}
 	}
-	if set.Lead().Version == lead.Version {
-		m.switchover(ctx, set, lead.Version, reason)
+	if set.Lead().Revision() == lead.Revision() {
+		m.switchover(ctx, set, lead.Revision(), reason)
 	}
 }
 
@@ -303,7 +325,7 @@
 // confirmFailure surveys a group until the primary answers again or its replicas have
 // received nothing for long enough. It reports whether the primary is to be replaced.
 func (m *Manager) confirmFailure(ctx context.Context, set *replicaset.Set, lead replicaset.Lead, reason string) bool {
-	for set.Lead().Version == lead.Version {
+	for set.Lead().Revision() == lead.Revision() {
 		surveyStart := m.Engine.BootTime()
 		res := m.survey(ctx, set, lead)
 		gap := m.updateReceiveGap(set, lead, res)
@@ -321,7 +343,7 @@
 		case reason == reasonSilent && silent == 0:
 			return false
 		}
-		overdue := reason == reasonGone || reason == reasonSilent && now.Sub(silent) >= deadAfter ||
+		overdue := reason == reasonGone || reason == reasonSuperseded || reason == reasonSilent && now.Sub(silent) >= deadAfter ||
 			reason == reasonStuck && now.Sub(stuck) >= stuckAfter
 		if overdue && gap >= minReceiveGap && m.canComplete(set, lead, res) {
 			return true
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
@@ -20,7 +23,8 @@
 	promoted   []replicaset.EndpointID
 	tokens     []uint64
 	state      State
-	version    uint64
+	era        revision.Era
+	version    revision.Version
 	conflict   bool
 	changes    []Change
 	// exposed is set once a replica reports that it follows the old primary after a
@@ -40,7 +44,10 @@
 			"a": {Role: replicaset.Replica, Term: 1, Received: at(1, 8)},
 			"b": {Role: replicaset.Replica, Term: 1, Received: at(1, 9)},
 		},
-		state: State{Leads: make(map[session.Group]replicaset.Lead)},
+		version: 1,
+		state: State{
+			Leads: make(map[session.Group]replicaset.Lead), Openings: map[revision.Era]EraOpening{0: {Version: 1}},
+		},
 	}
 }
 
@@ -107,27 +114,44 @@
 func (f *fakeCluster) read(context.Context) (State, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	st := State{Lease: f.state.Lease, Now: f.state.Now, Leads: make(map[session.Group]replicaset.Lead)}
+	st := State{
+		Lease: f.state.Lease, Now: f.state.Now, Leads: make(map[session.Group]replicaset.Lead),
+		Openings: maps.Clone(f.state.Openings), Revision: revision.Revision{Era: f.era, Version: f.version},
+	}
 	for g, l := range f.state.Leads {
 		st.Leads[g] = l
 	}
 	return st, nil
 }
 
-func (f *fakeCluster) write(_ context.Context, c Change) (uint64, error) {
+func (f *fakeCluster) write(_ context.Context, c Change) (revision.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.conflict || !c.KeepLease && c.Lease.Version != f.state.Lease.Version || c.Lead.Version != f.state.Leads[c.Group].Version {
-		return 0, ErrConflict
+	if f.conflict || c.Read.Openings[c.Read.Revision.Era].Version != f.state.Openings[c.Read.Revision.Era].Version || !c.KeepLease && c.Lease.Version != f.state.Lease.Version || c.Lead.Version != f.state.Leads[c.Group].Version {
+		return revision.Revision{}, ErrConflict
 	}
 	f.version++
-	c.Lease.Version, c.Lead.Version = f.version, f.version
+	c.Lease.Era, c.Lease.Version, c.Lead.Era, c.Lead.Version = f.era, f.version, f.era, f.version
 	if !c.KeepLease {
 		f.state.Lease = c.Lease
 	}
 	f.state.Leads[c.Group] = c.Lead
 	f.changes = append(f.changes, c)
-	return f.version, nil
+	if c.Read.Revision.Era != f.era {
+		return revision.Revision{}, errors.New("another era")
+	}
+	return revision.Revision{Era: f.era, Version: f.version}, nil
+}
+
+func (f *fakeCluster) openEra(_ context.Context, read State, terms map[session.Group]session.Term) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if read.Revision.Era != f.era {
+		return ErrConflict
+	}
+	f.version++
+	f.state.Openings = map[revision.Era]EraOpening{f.era: {Version: f.version, Terms: terms}}
+	return nil
 }
 
 func (f *fakeCluster) manager(t *testing.T) (*Manager, *replicaset.Set) {
@@ -152,7 +176,7 @@
 		set.Register(boot(), replicaset.Member{ID: id, Group: "g", Address: string(id), Role: role, Slots: 1, Started: 1})
 	}
 	return &Manager{
-		HostID: "host-1", Engine: e, Promote: f.promote, Store: Store{Read: f.read, Write: f.write},
+		HostID: "host-1", Engine: e, Promote: f.promote, Store: Store{Read: f.read, Write: f.write, OpenEra: f.openEra},
 	}, set
 }
 
@@ -189,7 +213,7 @@
 	}, "", "p"},
 	{"another host holds the lease", reasonSilent, func(cluster *fakeCluster, _ *replicaset.Set) {
 		cluster.silent["p"] = true
-		cluster.state.Lease = Lease{Holder: "host-2", Token: 4, Until: time.Hour}
+		cluster.state.Lease = Lease{Holder: "host-2", Token: 4, Until: time.Hour, Version: 2}
 	}, "", "p"},
 	{"the record changed in the meantime", reasonSilent, func(cluster *fakeCluster, _ *replicaset.Set) { cluster.conflict = true }, "", "p"},
 	{"another host promoted without recording it", reasonOrphaned, func(cluster *fakeCluster, set *replicaset.Set) {
@@ -207,7 +231,7 @@
 			cluster := newFakeCluster()
 			m, set := cluster.manager(t)
 			tt.change(cluster, set)
-			m.switchover(context.Background(), set, set.Lead().Version, tt.reason)
+			m.switchover(context.Background(), set, set.Lead().Revision(), tt.reason)
 			cluster.mu.Lock()
 			defer cluster.mu.Unlock()
 			if tt.promoted == "" && len(cluster.promoted) > 0 || tt.promoted != "" && (len(cluster.promoted) != 1 || cluster.promoted[0] != tt.promoted) {
@@ -242,7 +266,7 @@
 	cluster.state.Lease = Lease{Holder: "host-2", Token: 7, Until: time.Second}
 	cluster.state.Now = time.Hour
 	m, set := cluster.manager(t)
-	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	m.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
 	if len(cluster.tokens) != 1 || cluster.tokens[0] != 8 {
 		t.Errorf("tokens %v were sent, want 8", cluster.tokens)
 	}
@@ -343,7 +367,7 @@
 	cluster := newFakeCluster()
 	cluster.silent["p"] = true
 	m, set := cluster.manager(t)
-	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	m.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
 	if len(cluster.changes) != 3 {
 		t.Fatalf("%d changes were written, want the claim, the release of the lease and the end of the switch", len(cluster.changes))
 	}
@@ -362,11 +386,11 @@
 	m, set := cluster.manager(t)
 	lead := replicaset.Lead{ID: "p", Term: 1, Switching: true, Holder: "host-2", Until: 10 * time.Second, Version: 5}
 	set.SetLead(m.Engine.BootTime(), lead)
-	m.ObserveLease(Lease{}, 10*time.Second, m.Engine.BootTime())
+	m.Observe(State{Now: 10 * time.Second}, m.Engine.BootTime())
 	if got := m.suspicion(set, lead); got != "" {
 		t.Errorf("the reason to check a switch in progress is %q, want none", got)
 	}
-	m.ObserveLease(Lease{}, 10*time.Second+leaseMargin+time.Second, m.Engine.BootTime())
+	m.Observe(State{Now: 10*time.Second + leaseMargin + time.Second}, m.Engine.BootTime())
 	if got := m.suspicion(set, lead); got != reasonOrphaned {
 		t.Errorf("the reason to check a switch past its deadline is %q, want %q", got, reasonOrphaned)
 	}
@@ -383,7 +407,7 @@
 	m, set := cluster.manager(t)
 	m.Store.Read = func(context.Context) (State, error) { return State{}, context.DeadlineExceeded }
 	lead := set.Lead()
-	m.switchover(context.Background(), set, lead.Version, reasonStuck)
+	m.switchover(context.Background(), set, lead.Revision(), reasonStuck)
 	if got := set.Lead(); got.ID == lead.ID && got.Term != 0 {
 		t.Errorf("%s is assumed to lead term %d", got.ID, got.Term)
 	}
@@ -401,7 +425,7 @@
 	cluster.state.Leads["g"] = lead
 	m, set := cluster.manager(t)
 	set.SetLead(m.Engine.BootTime(), lead)
-	m.ObserveLease(cluster.state.Lease, time.Second, m.Engine.BootTime())
+	m.Observe(State{Lease: cluster.state.Lease, Now: time.Second}, m.Engine.BootTime())
 	reason := m.suspicion(set, lead)
 	if reason != reasonOrphaned {
 		t.Fatalf("the reason to check the host's own switch from before the restart is %q, want orphaned", reason)
@@ -419,7 +443,7 @@
 	cluster.silent["p"] = true
 	m, set := cluster.manager(t)
 	m.beginCheck("other")
-	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	m.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
 	if d := cluster.state.Lease; d.Holder != "" {
 		t.Errorf("the lease is left as %+v, want it free", d)
 	}
@@ -433,7 +457,7 @@
 	cluster.version = 9
 	cluster.state.Leads["g"] = replicaset.Lead{ID: "a", Term: 2, Version: 9}
 	m, set := cluster.manager(t)
-	m.switchover(context.Background(), set, set.Lead().Version, reasonSilent)
+	m.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
 	if len(cluster.promoted) != 0 || cluster.state.Leads["g"].Switching {
 		t.Errorf("promoted %v, the record is %+v", cluster.promoted, cluster.state.Leads["g"])
 	}
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
@@ -18,21 +19,76 @@
 	// Token is the fencing token, which increases with each new holder.
 	Token uint64
 	// Until is the end of the lease on the store's clock.
-	Until   time.Duration
-	Version uint64
+	Until time.Duration
+	// Era and Version are the revision of the record.
+	Era     revision.Era
+	Version revision.Version
+}
+
+func (l Lease) revision() revision.Revision {
+	return revision.Revision{Era: l.Era, Version: l.Version}
+}
+
+// tokenEraShift is the number of bits of a fencing token below the era. A store that runs
+// 400 transactions a second needs 87 years to fill them.
+const tokenEraShift = 40
+
+// nextToken returns the fencing token for the next holder of the lease, above the last one.
+// It does not rely on the last token alone, which the store may have lost: the state that
+// the lease was read in is newer than that of each earlier claim, which wrote to the store.
+func nextToken(last uint64, read revision.Revision) uint64 {
+	return max(last+1, uint64(read.Era)<<tokenEraShift+uint64(read.Version))
+}
+
+// EraOpening records that no lease from before an era is in force any more, and which
+// primaries led then.
+type EraOpening struct {
+	// Version is the version of the record, 0 if the era is not open.
+	Version revision.Version
+	// Terms has the term of each group whose members all reported it.
+	Terms map[session.Group]session.Term
 }
 
 // State is the lease and the leads as recorded in the store.
 type State struct {
 	Lease Lease
 	Leads map[session.Group]replicaset.Lead
+	// Revision is the state of the store that was read.
+	Revision revision.Revision
+	// Openings has the recorded opening of each era. Earlier eras than that of Revision
+	// come from a copy.
+	Openings map[revision.Era]EraOpening
 	// Now is the store's clock at the time of the read.
 	Now time.Duration
 }
 
+// opening returns the opening of the era that was read.
+func (s State) opening() EraOpening { return s.Openings[s.Revision.Era] }
+
+// Confirmed returns the lead of a group, provided that the record proves who leads: no
+// promotion from before the store came back from a copy can be missing in it. The lead of a
+// group without a record has only the term.
+func (s State) Confirmed(g session.Group) (replicaset.Lead, bool) {
+	opening, lead := s.opening(), s.Leads[g]
+	if opening.Version == 0 {
+		return lead, false
+	}
+	if lead.Version > opening.Version {
+		return lead, true
+	}
+	term, ok := opening.Terms[g]
+	if lead.Version == 0 {
+		lead.Term = term
+	}
+	return lead, ok && lead.Term == term
+}
+
 // Change replaces a group's lead and, unless KeepLease is set, the lease. It applies only if
-// the records that it replaces still have the versions given in it.
+// the records that it replaces still have the versions given in it, in the era that they
+// were read in.
 type Change struct {
+	// Read is the state that the change is based on.
+	Read      State
 	Lease     Lease
 	KeepLease bool
 	Group     session.Group
@@ -44,6 +100,10 @@
 type Store struct {
 	// Read also updates the members of all groups.
 	Read func(ctx context.Context) (State, error)
-	// Write returns the version of what it wrote, or ErrConflict.
-	Write func(ctx context.Context, c Change) (uint64, error)
+	// Write returns the revision of what it wrote, or ErrConflict. It fails if the opening
+	// of the era is not as read, or if the store is in another era by then.
+	Write func(ctx context.Context, c Change) (revision.Revision, error)
+	// OpenEra records the opening of the era of a state, unless it is recorded already,
+	// and deletes the openings of earlier eras.
+	OpenEra func(ctx context.Context, read State, terms map[session.Group]session.Term) error
 }
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -9,6 +9,7 @@
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/pause"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
@@ -18,6 +19,10 @@
 	leaseMargin = 1500 * time.Millisecond
 	// minLeaseToPromote is the lease time that must be left to send a promote call.
 	minLeaseToPromote = 1500 * time.Millisecond
+	// leaseProofTime is how long before a promote call the store must have shown the lease.
+	// A store that comes back from a copy may have lost it, and another host may acquire it
+	// after eraSettleTime.
+	leaseProofTime = time.Second
 	// promoteTimeout bounds one promote call. When it expires, the connection is reset, so
 	// that the call is not delivered later.
 	promoteTimeout = time.Second
@@ -40,6 +45,8 @@
 var (
 	errLeaseHeld     = errors.New("another host holds the promotion lease")
 	errRecordChanged = errors.New("the group's record has changed since the primary was suspected")
+	errLeaseLost     = errors.New("the store no longer has the lease of this host")
+	errEraNotOpen    = errors.New("a lease from before the store came back may be in force")
 )
 
 // replacement is one replacement of a primary in progress.
@@ -47,11 +54,18 @@
 	*Manager
 	set    *replicaset.Set
 	reason string
-	// suspectedVersion is the version of the group's record when the primary was suspected.
-	suspectedVersion uint64
-	old              replicaset.Lead
-	heldLease        Lease
-	leaseStart       replicaset.Instant
+	// suspected is the revision of the group's record when the primary was suspected.
+	suspected revision.Revision
+	old       replicaset.Lead
+	// oldFollows is set if the recorded primary is a replica by now: a promotion that is
+	// not recorded has made it one, and it may hold the only copy of a commit.
+	oldFollows bool
+	heldLease  Lease
+	leaseStart replicaset.Instant
+	// leaseShownAt is when the last read was requested that showed the lease in the store.
+	leaseShownAt replicaset.Instant
+	// claimed is the state of the store that the lease was acquired in.
+	claimed State
 	// recorded is the group's record as last written by this host.
 	recorded replicaset.Lead
 	// promoteSent is set once a promotion may take effect. The old primary must not be
@@ -60,9 +74,9 @@
 }
 
 // switchover replaces a group's primary, which was suspected when the group's record had
-// the given version.
-func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, suspectedVersion uint64, reason string) {
-	r := &replacement{Manager: m, set: set, suspectedVersion: suspectedVersion, reason: reason}
+// the given revision.
+func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, suspected revision.Revision, reason string) {
+	r := &replacement{Manager: m, set: set, suspected: suspected, reason: reason}
 	if err := r.claimSwitch(ctx, r.currentTerm(ctx)); err != nil {
 		m.event(set.Name, "", "switch_not_started", err.Error())
 		return
@@ -92,10 +106,16 @@
 	if err != nil {
 		return fmt.Errorf("read the lease and leads: %w", err)
 	}
-	if st.Lease.Holder != "" && st.Lease.Holder != r.HostID && st.Now <= st.Lease.Until+leaseMargin {
+	opening := st.opening()
+	if opening.Version == 0 {
+		r.Observe(st, requestedAt)
+		return errEraNotOpen
+	}
+	ended := st.Lease.Version < opening.Version
+	if !ended && st.Lease.Holder != "" && st.Lease.Holder != r.HostID && st.Now <= st.Lease.Until+leaseMargin {
 		return errLeaseHeld
 	}
-	if recorded := st.Leads[r.set.Name]; recorded.Version != r.suspectedVersion {
+	if recorded := st.Leads[r.set.Name]; recorded.Revision() != r.suspected {
 		// The suspicion was about an earlier primary.
 		if recorded.Version != 0 {
 			r.set.SetLead(r.Engine.BootTime(), recorded)
@@ -103,24 +123,31 @@
 		return errRecordChanged
 	}
 	d := st.Lease
-	if d.Holder != r.HostID || st.Now > d.Until || !r.hasOtherSwitches() {
-		d.Token++
+	if ended || d.Holder != r.HostID || st.Now > d.Until || !r.hasOtherSwitches() {
+		d.Token = nextToken(d.Token, st.Revision)
 	}
 	d.Holder, d.Until = r.HostID, st.Now+leaseTime
 	r.old = st.Leads[r.set.Name]
-	if known := r.set.Lead(); r.old.ID == "" || r.old.ID == known.ID && r.old.Term == 0 {
+	known := r.set.Lead()
+	if known.Term > r.old.Term {
+		// The store has lost the record of the last promotion.
+		r.old.ID, r.old.Term = known.ID, known.Term
+	}
+	if r.old.ID == "" || r.old.ID == known.ID && r.old.Term == 0 {
 		// No promotion is recorded, so the members' term is that of the known primary.
 		r.old.ID, r.old.Term = known.ID, max(known.Term, term)
 	}
 	lead := r.old
 	lead.Switching, lead.Token, lead.Holder, lead.Until = true, d.Token, r.HostID, st.Now+leaseTime
-	version, err := r.Store.Write(ctx, Change{Lease: d, Group: r.set.Name, Lead: lead})
+	at, err := r.Store.Write(ctx, Change{Read: st, Lease: d, Group: r.set.Name, Lead: lead})
 	if err != nil {
 		return fmt.Errorf("record the switch: %w", err)
 	}
-	d.Version, lead.Version = version, version
-	r.heldLease, r.leaseStart, r.recorded = d, requestedAt, lead
-	r.ObserveLease(d, st.Now, requestedAt)
+	d.Era, d.Version, lead.Era, lead.Version = at.Era, at.Version, at.Era, at.Version
+	r.heldLease, r.leaseStart, r.recorded, r.claimed = d, requestedAt, lead, st
+	r.leaseShownAt = requestedAt
+	st.Lease = d
+	r.Observe(st, requestedAt)
 	r.set.SetLead(r.Engine.BootTime(), lead)
 	return nil
 }
@@ -154,6 +181,7 @@
 		r.demoteAndAwaitProofs(ctx, lead)
 		return lead, nil
 	}
+	r.checkOld(ctx)
 	reports, err := r.pauseReplicas(ctx)
 	if err != nil {
 		return replicaset.Lead{}, err
@@ -195,11 +223,14 @@
 		return false
 	}
 	r.demoteAndAwaitProofs(ctx, next)
-	if set.Lead().Version != lead.Version {
+	if set.Lead().Revision() != lead.Revision() {
 		return true
 	}
 	unresumed := r.resume(ctx, r.followers(next))
 	st, err := r.Store.Read(ctx)
+	if err == nil && st.Leads[set.Name].Term >= next.Term {
+		return true
+	}
 	if err == nil {
 		r.heldLease = Lease{Token: lead.Token}
 		err = r.recordLead(ctx, st, next)
@@ -245,11 +276,21 @@
 	}
 }
 
+// checkOld finds out whether the recorded primary is a replica by now.
+func (r *replacement) checkOld(ctx context.Context) {
+	old, ok := r.set.Member(r.old.ID)
+	if !ok || !r.set.Superseded() {
+		return
+	}
+	st, ok := r.controlAll(ctx, []replicaset.Member{old}, engine.Op{Kind: engine.OpStatus})[old.ID]
+	r.oldFollows = ok && st.Role == replicaset.Replica && st.Term > r.old.Term
+}
+
 // replicas returns all members except the old primary.
 func (r *replacement) replicas() []replicaset.Member {
 	var out []replicaset.Member
 	for _, m := range r.set.Members() {
-		if m.ID != r.old.ID {
+		if m.ID != r.old.ID || r.oldFollows {
 			out = append(out, m)
 		}
 	}
@@ -262,12 +303,13 @@
 	if r.old.Term == 0 {
 		return replicaset.Lead{}, false
 	}
+	found := replicaset.Lead{Term: r.old.Term}
 	for id, st := range r.controlAll(ctx, r.replicas(), engine.Op{Kind: engine.OpStatus}) {
-		if st.Role == replicaset.Primary && st.Term > r.old.Term {
-			return replicaset.Lead{ID: id, Term: st.Term}, true
+		if st.Role == replicaset.Primary && st.Term > found.Term {
+			found.ID, found.Term = id, st.Term
 		}
 	}
-	return replicaset.Lead{}, false
+	return found, found.ID != ""
 }
 
 // mostAdvanced returns the replica that has received most of the log. Among equals it
@@ -306,6 +348,15 @@
 	}
 	var last error
 	for r.leaseLeft() > minLeaseToPromote {
+		if last = r.proveLease(ctx); errors.Is(last, errLeaseLost) {
+			break
+		}
+		if last != nil {
+			if !pause.For(ctx, pollInterval) {
+				break
+			}
+			continue
+		}
 		r.promoteSent = true
 		call, cancel := context.WithTimeout(ctx, promoteTimeout)
 		last = r.Promote(call, r.set.Name, id, r.HostID, r.heldLease.Token)
@@ -329,6 +380,26 @@
 	return replicaset.Lead{}, fmt.Errorf("promote %s: %w", id, last)
 }
 
+// proveLease reads the lease again if the store showed it too long ago.
+func (r *replacement) proveLease(ctx context.Context) error {
+	requestedAt := r.Engine.BootTime()
+	if requestedAt.Sub(r.leaseShownAt) <= leaseProofTime {
+		return nil
+	}
+	st, err := r.Store.Read(ctx)
+	if err != nil {
+		return fmt.Errorf("read the lease: %w", err)
+	}
+	if st.Revision.Era != r.heldLease.Era || st.Lease.Holder != r.HostID || st.Lease.Token != r.heldLease.Token {
+		return errLeaseLost
+	}
+	r.leaseShownAt = requestedAt
+	if age := r.Engine.BootTime().Sub(requestedAt); age > leaseProofTime {
+		return fmt.Errorf("the store showed the lease %s ago", age)
+	}
+	return nil
+}
+
 // releaseLease lets other groups be switched while this switch completes: no further
 // promote call is sent with this token. The group stays recorded as switching.
 func (r *replacement) releaseLease(ctx context.Context) {
@@ -337,12 +408,12 @@
 	}
 	d := r.heldLease
 	d.Holder, d.Until = "", 0
-	version, err := r.Store.Write(ctx, Change{Lease: d, Group: r.set.Name, Lead: r.recorded})
+	at, err := r.Store.Write(ctx, Change{Read: r.claimed, Lease: d, Group: r.set.Name, Lead: r.recorded})
 	if err != nil {
 		r.event(r.set.Name, "", "duty_kept", err.Error())
 		return
 	}
-	r.heldLease.Version, r.recorded.Version = version, version
+	r.heldLease.Version, r.recorded.Version = at.Version, at.Version
 	r.set.SetLead(r.Engine.BootTime(), r.recorded)
 }
 
@@ -362,11 +433,11 @@
 }
 
 // recordOutcome records who leads and releases the lease. It retries while the lease lasts,
-// unless the group's record is no longer that of this switch.
+// unless the group's record is that of a later switch.
 func (r *replacement) recordOutcome(ctx context.Context, lead replicaset.Lead) {
 	for r.leaseLeft() > 0 {
 		st, err := r.Store.Read(ctx)
-		if rec := st.Leads[r.set.Name]; err == nil && (!rec.Switching || rec.Holder != r.HostID || rec.Token != r.heldLease.Token) {
+		if err == nil && !r.recordedBy(st.Leads[r.set.Name]) && !r.recordLost(st) {
 			return
 		}
 		if err == nil {
@@ -382,6 +453,18 @@
 	}
 }
 
+// recordedBy reports whether a record is that of this switch.
+func (r *replacement) recordedBy(rec replicaset.Lead) bool {
+	return rec.Switching && rec.Holder == r.HostID && rec.Token == r.heldLease.Token
+}
+
+// recordLost reports whether the store has come back from a copy since this switch was
+// recorded, and holds no later switch.
+func (r *replacement) recordLost(st State) bool {
+	rec := st.Leads[r.set.Name]
+	return st.Revision.Era > r.recorded.Era && rec.Term <= r.recorded.Term && rec.Token < r.heldLease.Token
+}
+
 // recordLead records the primary and ends the switch. It also releases the lease if this
 // switch holds it and no other switch of this host needs it.
 func (r *replacement) recordLead(ctx context.Context, st State, lead replicaset.Lead) error {
@@ -392,14 +475,15 @@
 	}
 	lead.Switching, lead.Token, lead.Holder, lead.Until = false, r.heldLease.Token, "", 0
 	lead.Version = st.Leads[r.set.Name].Version
-	version, err := r.Store.Write(ctx, Change{Lease: d, KeepLease: !ownLease, Group: r.set.Name, Lead: lead})
+	at, err := r.Store.Write(ctx, Change{Read: st, Lease: d, KeepLease: !ownLease, Group: r.set.Name, Lead: lead})
 	if err != nil {
 		return err
 	}
-	lead.Version = version
+	lead.Era, lead.Version = at.Era, at.Version
 	if ownLease {
-		d.Version = version
-		r.ObserveLease(d, st.Now, r.Engine.BootTime())
+		d.Era, d.Version = at.Era, at.Version
+		st.Lease = d
+		r.Observe(st, r.Engine.BootTime())
 	}
 	r.set.SetLead(r.Engine.BootTime(), lead)
 	return nil
--- a/internal/replicaset/member.go
+++ b/internal/replicaset/member.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
@@ -87,8 +88,21 @@
 	// the store's clock, has passed.
 	Holder string
 	Until  time.Duration
-	// Version is the version of the record in the store, 0 if there is none.
-	Version uint64
+	// Era and Version are the revision of the record in the store, zero if there is none.
+	Era     revision.Era
+	Version revision.Version
+}
+
+// Revision returns the revision of the record in the store.
+func (l Lead) Revision() revision.Revision {
+	return revision.Revision{Era: l.Era, Version: l.Version}
+}
+
+// outlasts reports whether l, known from an earlier era of the store, is later than a
+// record of a new era, which may come from a copy: a promotion has followed the record,
+// or has at least begun.
+func (l Lead) outlasts(record Lead) bool {
+	return l.Term > record.Term || l.Term == record.Term && l.Switching && !record.Switching
 }
 
 // String formats the fields that matter to failover and proofs.
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
@@ -68,6 +69,11 @@
 	mu      sync.Mutex
 	members map[EndpointID]*memberState
 	lead    Lead
+	// recordOutdated is set while the store's record is older than lead, because the
+	// store has lost the later one.
+	recordOutdated bool
+	// reportedTerm is the highest term that a member reported.
+	reportedTerm session.Term
 	// leadChangedAt is when this host learned of the last recorded change of the primary.
 	leadChangedAt Instant
 	// claimedLead is another primary or a later term that members report while the store
@@ -193,13 +199,21 @@
 }
 
 // SetLead adopts a leadership record from the store. It ignores a record that is not newer
-// than the known one and returns false.
+// than the known one and returns false. Of a record from a copy of the store that the known
+// lead outlasts, it adopts only the revision.
 func (s *Set) SetLead(now Instant, l Lead) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.Version <= s.lead.Version {
+	if !s.lead.Revision().Less(l.Revision()) {
 		return false
 	}
+	if l.Era > s.lead.Era && s.lead.outlasts(l) {
+		s.lead.Era, s.lead.Version = l.Era, l.Version
+		s.recordOutdated = true
+		s.releaseSwitch()
+		return false
+	}
+	s.recordOutdated = false
 	// Learning the term of a known primary is not a change of the primary.
 	if l.ID != s.lead.ID || s.lead.Term != 0 && l.Term != s.lead.Term {
 		s.samples, s.stuckSince, s.provedAt = nil, 0, 0
@@ -211,6 +225,50 @@
 	return true
 }
 
+// RecordLost records that the store has no leadership record of this group since the given
+// era. The known lead stays, as one without a record.
+func (s *Set) RecordLost(era revision.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead.Version == 0 || s.lead.Era >= era {
+		return
+	}
+	s.lead.Era, s.lead.Version = 0, 0
+	s.recordOutdated = false
+	s.releaseSwitch()
+}
+
+// releaseSwitch lets any host end a switch whose record the store has lost: its deadline is
+// on the clock of an era that is over. The switch itself goes on.
+func (s *Set) releaseSwitch() {
+	if s.lead.Switching {
+		s.lead.Until = 0
+	}
+	s.notify()
+}
+
+// RecordOutdated reports whether the store's record is older than the known lead.
+func (s *Set) RecordOutdated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.recordOutdated
+}
+
+// ReportTerm records the term in a member's report.
+func (s *Set) ReportTerm(t session.Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportedTerm = max(s.reportedTerm, t)
+}
+
+// Superseded reports whether a member is in a later term than the recorded primary, so that
+// a promotion took place that is not recorded.
+func (s *Set) Superseded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lead.Version != 0 && s.lead.Term != 0 && s.reportedTerm > s.lead.Term
+}
+
 // LeadAge returns how long ago this host learned of the last recorded change of the
 // primary, false if it knows of none.
 func (s *Set) LeadAge(now Instant) (time.Duration, bool) {
--- a/internal/replicaset/set_test.go
+++ b/internal/replicaset/set_test.go
@@ -295,3 +295,55 @@
 		t.Error("a member that answers nothing does not count as silent")
 	}
 }
+
+// TestLeadAcrossEras guards against a primary that comes back after it was replaced: the
+// store, back from a copy, has the record from before the promotion.
+func TestLeadAcrossEras(t *testing.T) {
+	promoted := Lead{ID: "a", Term: 2, Era: 1, Version: 9}
+	switching := Lead{ID: "p", Term: 1, Switching: true, Until: time.Hour, Era: 1, Version: 9}
+	tests := []struct {
+		name          string
+		known, record Lead
+		want          EndpointID
+		switching     bool
+		outdated      bool
+	}{
+		{"the promotion is lost", promoted, Lead{ID: "p", Term: 1, Era: 2, Version: 4}, "a", false, true},
+		{"the record is the same", promoted, Lead{ID: "a", Term: 2, Era: 2, Version: 4}, "a", false, false},
+		{"a promotion in the new era", promoted, Lead{ID: "p", Term: 3, Era: 2, Version: 4}, "p", false, false},
+		{"the switch is lost", switching, Lead{ID: "p", Term: 1, Era: 2, Version: 4}, "p", true, true},
+		{"a late answer of the era before", Lead{ID: "p", Term: 1, Era: 2, Version: 4}, promoted, "p", false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New("g", "z")
+			s.SetLead(at(1), tt.known)
+			s.SetLead(at(2), tt.record)
+			lead := s.Lead()
+			if lead.ID != tt.want || lead.Switching != tt.switching || s.RecordOutdated() != tt.outdated {
+				t.Errorf("the lead is %+v, its record outdated %t", lead, s.RecordOutdated())
+			}
+			if lead.Era != 2 {
+				t.Errorf("the revision %v is not that of the new era", lead.Revision())
+			}
+			if lead.Switching && lead.Until != 0 {
+				t.Errorf("the deadline %s is on the clock of an era that is over", lead.Until)
+			}
+		})
+	}
+}
+
+// TestRecordLost guards against a group that nobody may switch: its record is gone, and the
+// known lead has a revision that the store will never have again.
+func TestRecordLost(t *testing.T) {
+	s := New("g", "z")
+	s.SetLead(at(1), Lead{ID: "a", Term: 2, Era: 1, Version: 9})
+	s.RecordLost(1)
+	if s.Lead().Version != 9 {
+		t.Error("a record of the same era is taken as lost")
+	}
+	s.RecordLost(2)
+	if lead := s.Lead(); lead.ID != "a" || lead.Term != 2 || !lead.Revision().IsZero() {
+		t.Errorf("the lead is %+v, want a with term 2 and no record", lead)
+	}
+}
