--- a/internal/failover/era.go
+++ b/internal/failover/era.go
@@ -87,24 +87,34 @@
 	m.era.openAt = max(m.era.openAt, m.Engine.BootTime().Add(eraRetryInterval))
 }
 
-// eraToOpen returns the era that this host knows, false if it is open.
-func (m *Manager) eraToOpen() (revision.Era, bool) {
+// closedEra returns the era that this host knows, false if it is open.
+func (m *Manager) closedEra() (revision.Era, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.era.era, m.era.openedAt == 0
 }
 
+// awaitClosedEra waits for a delay and returns the store's era, false if another host has
+// opened it meanwhile.
+func (m *Manager) awaitClosedEra(ctx context.Context, delay time.Duration) (revision.Era, bool) {
+	for end := m.Engine.BootTime().Add(delay); ; {
+		era, closed := m.closedEra()
+		left := end.Sub(m.Engine.BootTime())
+		if !closed || left <= 0 {
+			return era, closed
+		}
+		if !pause.For(ctx, min(checkInterval, left)) {
+			return era, false
+		}
+	}
+}
+
 // openEra records the opening of the store's era after a delay, unless another host has
 // recorded it meanwhile.
 func (m *Manager) openEra(ctx context.Context, delay time.Duration) {
-	era, closed := m.eraToOpen()
-	for end := m.Engine.BootTime().Add(delay); m.Engine.BootTime() < end; {
-		if !pause.For(ctx, min(checkInterval, end.Sub(m.Engine.BootTime()))) {
-			return
-		}
-		if era, closed = m.eraToOpen(); !closed {
-			return
-		}
+	era, ok := m.awaitClosedEra(ctx, delay)
+	if !ok {
+		return
 	}
 	readAt := m.Engine.BootTime()
 	st, err := m.Store.Read(ctx)
