--- a/internal/failover/lease.go
+++ b/internal/failover/lease.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
