The soak brings the store back from a copy, with signals and changes around it

At the end of a run each host must use a new configuration within 3 s, and no two hosts may have promoted with one token. One caller in four keeps its session until the host ends it.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -93,13 +93,18 @@
 	}
 	c.conn = conn
 	defer conn.Close()
-	for range 3 + c.r.IntN(20) {
+	operations := 3 + c.r.IntN(20)
+	for i := 0; i < operations || c.keepsSession(); i++ {
 		if !c.runOperation() || !c.pause(ctx) {
 			return
 		}
 	}
 }
 
+// keepsSession reports whether the caller uses a session until the host ends it or an
+// operation fails.
+func (c *caller) keepsSession() bool { return c.number%4 == 3 }
+
 // pause waits a random time, meanOperationPause on average. It returns false if
 // ctx ended first.
 func (c *caller) pause(ctx context.Context) bool {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// configApplyLimit is how long a change of the configuration may take to be in force.
+	configApplyLimit = 3 * time.Second
 	// unreadCutWindow is how soon after a request was sent its connection may end
 	// without a violation, provided that no endpoint ran the request.
 	unreadCutWindow = 200 * time.Millisecond
@@ -69,6 +71,46 @@
 	return l.violations
 }
 
+// checkPromotions checks that no two hosts promoted with the same fencing token.
+func (l *ledger) checkPromotions(all []standin.Promotion) {
+	holders := make(map[uint64]string)
+	for _, p := range all {
+		if h, ok := holders[p.Token]; ok && h != p.Holder {
+			l.addViolation("token", "", "%s and %s promoted with token %d", h, p.Holder, p.Token)
+		}
+		holders[p.Token] = p.Holder
+	}
+}
+
+// checkConfigInForce changes the configuration, and checks that each host uses the new
+// version within configApplyLimit.
+func (w *world) checkConfigInForce(l *ledger) {
+	configs := w.acceptedConfigs()
+	group := (configs[len(configs)-1].group + 1) % groups
+	w.moveDatabase(group)
+	end := time.Now().Add(configApplyLimit)
+	for _, p := range w.hosts {
+		for !w.readsMovingFrom(p, group) {
+			if time.Now().After(end) {
+				l.addViolation("config_late", "", "%s does not use the last configuration after %s", p.name, configApplyLimit)
+				break
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+}
+
+// readsMovingFrom reports whether a host reads the database "moving" from a group.
+func (w *world) readsMovingFrom(p *process, group int) bool {
+	c, err := standin.Connect(p.callerAddress, "moving", answerTimeout)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	a, err := c.Query(probeItem, "READ "+probeItem)
+	return err == nil && a.Done() && w.groupOf(a.Digest) == group
+}
+
 // checkRun checks that a statement that an endpoint ran was sent by a caller, with
 // the same text, and ran with exactly the session values of that caller.
 func (l *ledger) checkRun(r standin.Run) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -144,6 +144,39 @@
 	{name: "configuration_changes", planned: true, begin: func(w *world, f Fault) { w.moveDatabase(f.Group) }},
 }
 
+// storeRestored takes the store away and brings it back with a state of some seconds
+// before. What operators and endpoints wrote since is written again a little later.
+var storeRestored = faultKind{
+	name:  "store_restored",
+	begin: func(w *world, _ Fault) { w.store.Down(true) },
+	end: func(w *world, f Fault) {
+		lost := w.store.Restore(time.Duration(f.ForMS)*time.Millisecond + restoreAge(f))
+		w.store.Down(false)
+		time.AfterFunc(rewriteDelay, func() { w.store.Rewrite(lost) })
+	},
+}
+
+// restoreAge is how long before it went away the store had the state that it comes back
+// with.
+func restoreAge(f Fault) time.Duration { return time.Duration(1+2*f.Member) * time.Second }
+
+const (
+	// rewriteDelay is how long after the store's return lost rows are written again.
+	rewriteDelay = 300 * time.Millisecond
+	// maxRestoreTime is the longest time for which the store is away before it comes back
+	// with an earlier state.
+	maxRestoreTime = 1500 * time.Millisecond
+	// maxBurst is the maximum number of faults in a burst around a restore, at most
+	// maxBurstSpacing apart.
+	maxBurst        = 6
+	maxBurstSpacing = 400 * time.Millisecond
+)
+
+// burstKinds are the faults in a burst: signals, restarts and changes in series.
+var burstKinds = []string{
+	"host_stopped", "host_reloads", "host_killed", "host_reloads", "configuration_changes", "primary_dark", "store_cut",
+}
+
 const (
 	// meanFaultInterval is the mean time between the starts of two faults.
 	meanFaultInterval = 900 * time.Millisecond
@@ -171,6 +204,30 @@
 		seen[once] = true
 		plan = append(plan, f)
 	}
+	plan = append(plan, restores(seed, length, hosts)...)
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].AtMS < plan[j].AtMS })
+	return plan
+}
+
+// restores returns up to two restores of the store, each with a burst of other faults
+// that begins before it. They have a random sequence of their own.
+func restores(seed uint64, length time.Duration, hosts int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 3))
+	var plan []Fault
+	for range r.IntN(3) {
+		at := meanFaultInterval + time.Duration(r.Int64N(int64(max(length-meanFaultInterval-maxRestoreTime, time.Millisecond))))
+		plan = append(plan, Fault{
+			Kind: storeRestored.name, AtMS: at.Milliseconds(), ForMS: 100 + r.Int64N(maxRestoreTime.Milliseconds()-100), Member: r.IntN(membersPerGroup),
+		})
+		at -= time.Duration(r.Int64N(int64(2 * time.Second)))
+		for range r.IntN(maxBurst + 1) {
+			plan = append(plan, Fault{
+				Kind: burstKinds[r.IntN(len(burstKinds))], AtMS: max(0, at.Milliseconds()), ForMS: 200 + r.Int64N(1500),
+				Host: r.IntN(hosts), Group: r.IntN(groups), Member: r.IntN(membersPerGroup),
+			})
+			at += time.Duration(r.Int64N(int64(maxBurstSpacing)))
+		}
+	}
 	return plan
 }
 
@@ -198,7 +255,7 @@
 
 // kindByName panics if there is no kind with this name.
 func kindByName(name string) faultKind {
-	for _, k := range faultKinds {
+	for _, k := range append(faultKinds[:len(faultKinds):len(faultKinds)], storeRestored) {
 		if k.name == name {
 			return k
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -85,6 +85,8 @@
 		l.addViolation("recover", "", "a group does not serve writes %s after the last fault", recoveryTimeout)
 	}
 	report.RecoveredMS = time.Since(began).Milliseconds()
+	w.checkConfigInForce(l)
+	l.checkPromotions(w.store.Promotions())
 	for _, p := range w.hosts {
 		p.kill()
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -100,6 +100,7 @@
 		}
 	}
 	w.store.Promote = w.promote
+	w.openEra()
 	w.moveDatabase(0)
 	w.updateEndpoints()
 	dir, err := os.MkdirTemp("", "soak")
@@ -115,6 +116,16 @@
 	return w, nil
 }
 
+// openEra records that the first era of the store is open for promotions, as in a
+// deployment that has run for some seconds.
+func (w *world) openEra() {
+	terms := make(map[string]int)
+	for _, g := range w.groups {
+		terms[g.Name] = 1
+	}
+	w.store.Put("lead", "era/1", map[string]any{"host": "host-0", "terms": terms})
+}
+
 // promote starts the promotion of an endpoint to the primary of its group. It returns
 // false if no group accepts that.
 func (w *world) promote(id string) bool {
