A handle of a lent transaction belongs to one link and is never given out again

What callers would see: COMMIT is answered as done although another session's transaction was committed, whose own COMMIT fails.

Cause: handles counted from 1 for each link between hosts, and a borrower sent them to the lender's address over whichever link was open.

What changed: the lender's handles are unique over all its links and, by a random start, over restarts; the borrower uses a handle only over its own link, and otherwise fails the call without sending it, since the lender rolls back what a broken link had open.

No message changes.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -37,6 +37,9 @@
 	errLinkBroken = errors.New("link to the lending host is broken")
 	errTimeout    = errors.New("timeout waiting for the lending host")
 	errNotLending = errors.New("the lending host is not lending connections")
+	// errLoanLost reports that a transaction has ended with its link: the lender rolls it
+	// back.
+	errLoanLost = errors.New("the link that the transaction was opened over has broken")
 )
 
 // Borrower opens links to lenders and runs calls over the connections they lend.
@@ -75,17 +78,20 @@
 	pending  map[uint64]chan response
 	lastSeq  uint64
 	lastUsed time.Time
+	// loans holds the handles of the transactions that are open over this link.
+	loans map[uint64]struct{}
 }
 
 // Run runs a call at an endpoint over a lender's connection. A handle other than 0
 // runs it in the transaction that an earlier call left open. The error wraps
 // engine.ErrLenderUnavailable if the lender could not be reached or is not lending.
 func (b *Borrower) Run(address string, m replicaset.Member, handle uint64, c engine.Call) (engine.RemoteResult, error) {
-	l, err := b.awaitLink(address, time.Until(c.QueueDeadline))
+	l, err := b.linkFor(address, handle, time.Until(c.QueueDeadline))
 	if err != nil {
-		return engine.RemoteResult{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err))
+		return engine.RemoteResult{}, engine.NotSent(err)
 	}
 	a, err := l.call(c.Deadline, wireRequest(m.Group, m.ID, handle, c))
+	l.setLoan(handle, a.Handle)
 	if err != nil {
 		return engine.RemoteResult{}, err
 	}
@@ -157,15 +163,49 @@
 
 // EndLoan ends a transaction that a call left open at a lender, by rollback.
 func (b *Borrower) EndLoan(address string, handle uint64) {
+	if l, err := b.linkFor(address, handle, 0); err == nil {
+		l.setLoan(handle, 0)
+		l.release(handle)
+	}
+}
+
+// linkFor returns the link over which the transaction of a handle was opened, or the
+// link to the lender if the handle is 0. It waits at most the given time for a link to
+// open.
+func (b *Borrower) linkFor(address string, handle uint64, wait time.Duration) (*link, error) {
+	if handle == 0 {
+		l, err := b.awaitLink(address, wait)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err)
+		}
+		return l, nil
+	}
 	b.mu.Lock()
 	l, ok := b.links[address]
 	b.mu.Unlock()
-	if !ok {
-		return
+	if !ok || !l.hasLoan(handle) {
+		return nil, errLoanLost
 	}
-	<-l.ready
-	if l.err == nil {
-		l.release(handle)
+	return l, nil
+}
+
+func (l *link) hasLoan(handle uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.loans[handle]
+	return ok
+}
+
+// setLoan records that a call in the transaction of the handle before, if any, has left
+// the transaction of the handle after open, if any.
+func (l *link) setLoan(before, after uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if before != after {
+		delete(l.loans, before)
+	}
+	if after != 0 {
+		l.loans[after] = struct{}{}
 	}
 }
 
@@ -193,7 +233,7 @@
 		if b.links == nil {
 			b.links = make(map[string]*link)
 		}
-		l = &link{b: b, address: address, ready: make(chan struct{}), pending: make(map[uint64]chan response), lastUsed: time.Now()}
+		l = &link{b: b, address: address, ready: make(chan struct{}), pending: make(map[uint64]chan response), lastUsed: time.Now(), loans: make(map[uint64]struct{})}
 		b.links[address] = l
 		go guard.Run("link to a lender", b.OnPanic, l.run)
 	}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"github.com/coder/websocket"
 
@@ -24,6 +27,19 @@
 	// Unavailable reports whether this host refuses new loans, because it is shutting down,
 	// or because it has just started and does not know the endpoints yet.
 	Unavailable func() bool
+
+	// handles is the last handle given out. It begins at a random number, so that handles
+	// don't come again after a restart.
+	handles  atomic.Uint64
+	initOnce sync.Once
+}
+
+// nextHandle returns a handle that no other transaction has had, on any link. A borrower
+// that uses one after its link has broken, or after a restart of this host, is told that
+// it is not known.
+func (l *Lender) nextHandle() uint64 {
+	l.initOnce.Do(func() { l.handles.Store(rand.Uint64N(math.MaxUint64/2) + 1) })
+	return l.handles.Add(1)
 }
 
 // loan is a connection lent to a borrower. It is stored under a handle only while a
@@ -41,9 +57,8 @@
 
 	mu sync.Mutex
 	// loans holds the loans with an open transaction, by handle.
-	loans      map[uint64]*loan
-	lastHandle uint64
-	closed     bool
+	loans  map[uint64]*loan
+	closed bool
 }
 
 // ServeHTTP serves one link until it breaks.
@@ -163,7 +178,7 @@
 		if ln, ok := b.loans[q.Handle]; ok {
 			return ln, nil
 		}
-		return nil, engine.NotSent(errLinkBroken)
+		return nil, engine.NotSent(errLoanLost)
 	}
 	if b.lender.Unavailable() {
 		return nil, engine.ErrLenderUnavailable
@@ -185,8 +200,7 @@
 		return 0
 	}
 	if handle == 0 {
-		b.lastHandle++
-		handle = b.lastHandle
+		handle = b.lender.nextHandle()
 		b.loans[handle] = ln
 	}
 	return handle
