A connection that opens slowly serves a later request, and its wait is no refusal

Cause: the test lets statements wait for 300 ms at most. Opening the first connection took longer; the dial was bound by the statement's wait, thrown away with it, and the time-out was reported as a refusal by the endpoint. With an endpoint that always takes longer, no statement would ever be served.

What changed: the pool completes the connection for a later request and answers CT2010 (no connection in time), which is as true: nothing was sent. No other test sets a wait below the dial's own limit of 3 s.

TestCutZoneServesReads passed three times in a row.

--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -215,21 +215,58 @@
 	}
 }
 
-// open opens a connection for which held was already increased.
+// open opens a connection for which held was already increased. If ctx ends first, the
+// connection is completed for a later request: an endpoint that takes longer than
+// requests may wait would otherwise never get one.
 func (p *Pool) open(ctx context.Context) (*Conn, error) {
 	p.mu.Lock()
 	d := p.Dialer
 	p.mu.Unlock()
-	c, err := d.open(ctx, p.Member, p.Database)
-	if err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
+	opened := make(chan grant, 1)
+	go func() {
+		c, err := d.open(context.WithoutCancel(ctx), p.Member, p.Database)
+		opened <- grant{conn: c, err: err}
+	}()
+	select {
+	case g := <-opened:
+		if g.err != nil {
+			p.dropOpening()
+			return nil, g.err
+		}
+		p.markInUse(g.conn)
+		return g.conn, nil
+	case <-ctx.Done():
+		go p.adopt(opened, d.Host)
+		return nil, result.New(result.QueueDeadline, "no connection to endpoint %s was opened in time", p.Member.ID)
+	}
+}
+
+// dropOpening gives up a connection that could not be opened.
+func (p *Pool) dropOpening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held--
+	p.serveQueue()
+}
+
+// adopt adds a connection to the idle ones once it is open, unless the run of the host
+// has changed meanwhile.
+func (p *Pool) adopt(opened <-chan grant, runID string) {
+	g := <-opened
+	if g.err != nil {
+		p.dropOpening()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held > p.limit || p.Dialer.Host != runID {
+		g.conn.Close()
 		p.held--
-		p.serveQueue()
-		return nil, err
+	} else {
+		g.conn.acquiredAt = p.Clock.Now()
+		p.idle = append(p.idle, g.conn)
 	}
-	p.markInUse(c)
-	return c, nil
+	p.serveQueue()
 }
 
 // Release returns a connection to the pool. It is closed if it is not
