The declared rows of the table service are ordered by era, too

What callers would see on the PostgreSQL side: a template that is accepted after the table service came back from a copy is not in force, since its commit number was seen before.

Cause: the same comparison of numbers of two eras, in internal/declared, the cursors of long polls and the rows of shares.

What changed: the client adds the era of the header Store-Era to each commit number, in one number that orders by era first (revision.Pack, which fencing tokens use as well). A poll from a revision that the service does not have returns all rows, and rows that the service has lost are dropped. The stand-in can come back from a copy (PUT /standin/restore). Without the header nothing changes.

Open: a template accepted in the lost time is lost with it, and has to be applied again; nothing writes it again.

--- a/internal/declared/state.go
+++ b/internal/declared/state.go
@@ -3,7 +3,9 @@
 // groups that the platform declares. It performs no I/O.
 //
 // A row is only ever replaced by one of a later revision, whether it comes from
-// the platform's table or from a peer, so rows may arrive in any order.
+// the platform's table or from a peer, so rows may arrive in any order. If the table
+// comes back from a copy, its rows replace all known ones: a revision orders states by
+// the table's era first.
 //
 // # Usage
 //
@@ -64,11 +66,15 @@
 
 // Merge applies rows and returns the keys of those that were newer than the
 // stored ones. The rows must include every change after a revision that the
-// state had reached, up to the given revision.
+// state had reached, up to the given revision; in a later era of the table, they must
+// be all rows.
 func (s *State) Merge(rows []platform.Row, revision platform.Revision) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var keys []string
+	if s.revision < revision && !s.revision.SameEra(revision) {
+		keys = s.dropMissing(rows)
+	}
 	for _, r := range rows {
 		if r.Revision <= s.rows[r.Key].Revision {
 			continue
@@ -86,6 +92,26 @@
 	return keys
 }
 
+// dropMissing removes the rows that the table has lost, and returns their keys. The
+// caller holds mu.
+func (s *State) dropMissing(rows []platform.Row) []string {
+	present := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		present[r.Key] = true
+	}
+	var keys []string
+	for key := range s.rows {
+		if present[key] {
+			continue
+		}
+		s.updateAccount(platform.Row{Key: key, Deleted: true})
+		delete(s.rows, key)
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // updateAccount caches the decoded template of an account row. A deleted or
 // invalid row removes the account. The caller holds mu.
 func (s *State) updateAccount(r platform.Row) {
--- a/internal/failover/era_test.go
+++ b/internal/failover/era_test.go
@@ -56,9 +56,9 @@
 	}{
 		{0, revision.Revision{}, 1},
 		{7, revision.Revision{Version: 3}, 8},
-		{7, revision.Revision{Era: 1, Version: 3}, 1<<tokenEraShift + 3},
-		{1<<tokenEraShift + 9, revision.Revision{Era: 1, Version: 9}, 1<<tokenEraShift + 10},
-		{1<<tokenEraShift + 90, revision.Revision{Era: 2, Version: 5}, 2<<tokenEraShift + 5},
+		{7, revision.Revision{Era: 1, Version: 3}, revision.Revision{Era: 1, Version: 3}.Pack()},
+		{revision.Revision{Era: 1, Version: 9}.Pack(), revision.Revision{Era: 1, Version: 9}, revision.Revision{Era: 1, Version: 10}.Pack()},
+		{revision.Revision{Era: 1, Version: 90}.Pack(), revision.Revision{Era: 2, Version: 5}, revision.Revision{Era: 2, Version: 5}.Pack()},
 	}
 	for _, tt := range tests {
 		if got := nextToken(tt.last, tt.read); got != tt.want {
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -29,15 +29,11 @@
 	return revision.Revision{Era: l.Era, Version: l.Version}
 }
 
-// tokenEraShift is the number of bits of a fencing token below the era. A store that runs
-// 400 transactions a second needs 87 years to fill them.
-const tokenEraShift = 40
-
 // nextToken returns the fencing token for the next holder of the lease, above the last one.
 // It does not rely on the last token alone, which the store may have lost: the state that
 // the lease was read in is newer than that of each earlier claim, which wrote to the store.
 func nextToken(last uint64, read revision.Revision) uint64 {
-	return max(last+1, uint64(read.Era)<<tokenEraShift+uint64(read.Version))
+	return max(last+1, read.Pack())
 }
 
 // EraOpening records that no lease from before an era is in force any more, and which
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -21,6 +21,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/revision"
 )
 
 const maxResponseBytes = 64 << 20
@@ -29,9 +31,23 @@
 // the platform may or may not have carried it out.
 var ErrOutcomeUnknown = errors.New("outcome of the platform call is unknown")
 
-// Revision is a commit number of the table service.
+// Revision is a state of the table service: its era and commit number as packed by
+// revision.Revision, so that a later one is greater even if the service has come back from
+// a copy since. The service itself counts commits only.
 type Revision uint64
 
+// SameEra reports whether two revisions are of one era of the service.
+func (r Revision) SameEra(o Revision) bool {
+	return revision.Unpack(uint64(r)).Era == revision.Unpack(uint64(o)).Era
+}
+
+// eraHeader is the response header with the era of the table service.
+const eraHeader = "Store-Era"
+
+// errOtherEra reports that the service does not have the requested revision, because it
+// has come back from a copy.
+var errOtherEra = errors.New("the table service has come back from a copy")
+
 // Version is a row's version number. It is 0 for a row that does not exist.
 type Version uint64
 
@@ -103,7 +119,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("commit: %w", err)
 	}
-	status, response, err := c.do(ctx, http.MethodPost, "/v1/table/commit", body, 0)
+	status, era, response, err := c.do(ctx, http.MethodPost, "/v1/table/commit", body, 0)
 	if err != nil {
 		return 0, err
 	}
@@ -115,23 +131,50 @@
 		return 0, fmt.Errorf("commit: status %d: %w", status, ErrOutcomeUnknown)
 	}
 	if status == http.StatusConflict {
-		return 0, &ConflictError{Rows: a.Conflicts}
+		return 0, &ConflictError{Rows: inEra(era, a.Conflicts)}
 	}
-	return a.Revision, nil
+	return pack(era, a.Revision), nil
+}
+
+// pack adds the era to a commit number.
+func pack(era revision.Era, n Revision) Revision {
+	return Revision(revision.Revision{Era: era, Version: revision.Version(n)}.Pack())
+}
+
+// inEra adds the era to the commit numbers of rows.
+func inEra(era revision.Era, rows []Row) []Row {
+	for i := range rows {
+		rows[i].Revision = pack(era, rows[i].Revision)
+	}
+	return rows
 }
 
 // Changes returns the rows under prefix that changed after since, and the
 // revision up to which they are complete. It is a long poll: without changes it
-// returns no rows after wait.
+// returns no rows after wait. If the service has come back from a copy since, it
+// returns all rows.
 func (c *Client) Changes(ctx context.Context, prefix string, since Revision, wait time.Duration) ([]Row, Revision, error) {
+	rows, at, err := c.changesSince(ctx, prefix, revision.Unpack(uint64(since)), wait)
+	if errors.Is(err, errOtherEra) {
+		return c.changesSince(ctx, prefix, revision.Revision{}, 0)
+	}
+	return rows, at, err
+}
+
+// changesSince is Changes within one era. It fails with errOtherEra if the service does
+// not have the requested revision.
+func (c *Client) changesSince(ctx context.Context, prefix string, since revision.Revision, wait time.Duration) ([]Row, Revision, error) {
 	q := url.Values{}
 	q.Set("prefix", prefix)
-	q.Set("since", strconv.FormatUint(uint64(since), 10))
+	q.Set("since", strconv.FormatUint(uint64(since.Version), 10))
 	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	_, response, err := c.do(ctx, http.MethodGet, "/v1/table/changes?"+q.Encode(), nil, wait)
+	status, era, response, err := c.do(ctx, http.MethodGet, "/v1/table/changes?"+q.Encode(), nil, wait)
 	if err != nil {
 		return nil, 0, err
 	}
+	if status == http.StatusGone || !since.IsZero() && era != since.Era {
+		return nil, 0, errOtherEra
+	}
 	var a struct {
 		Rows     []Row    `json:"rows"`
 		Revision Revision `json:"revision"`
@@ -139,13 +182,13 @@
 	if err := json.Unmarshal(response, &a); err != nil {
 		return nil, 0, fmt.Errorf("changes: %w", err)
 	}
-	return a.Rows, a.Revision, nil
+	return inEra(era, a.Rows), pack(era, a.Revision), nil
 }
 
 // Hosts returns the platform's list of live and leaving hosts. The list lags
 // behind the hosts' real state.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	_, response, err := c.do(ctx, http.MethodGet, "/v1/hosts", nil, 0)
+	_, _, response, err := c.do(ctx, http.MethodGet, "/v1/hosts", nil, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -160,28 +203,48 @@
 
 // PutObject stores body under key in the object store.
 func (c *Client) PutObject(ctx context.Context, key string, body []byte) error {
-	_, _, err := c.do(ctx, http.MethodPut, "/v1/objects/"+key, body, 0)
+	_, _, _, err := c.do(ctx, http.MethodPut, "/v1/objects/"+key, body, 0)
 	return err
 }
 
-func (c *Client) do(ctx context.Context, method, path string, body []byte, wait time.Duration) (int, []byte, error) {
+// do makes one call and returns the status, the era of the service and the body of the
+// response.
+func (c *Client) do(ctx context.Context, method, path string, body []byte, wait time.Duration) (int, revision.Era, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout+wait)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil, fmt.Errorf("platform: %w", err)
+		return 0, 0, nil, fmt.Errorf("platform: %w", err)
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return 0, 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	defer resp.Body.Close()
 	response, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		return 0, 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	era, err := parseEra(resp.Header)
+	if err != nil {
+		return 0, 0, nil, err
 	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-		return 0, nil, fmt.Errorf("%w: status %d", ErrOutcomeUnknown, resp.StatusCode)
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusConflict, http.StatusGone:
+		return resp.StatusCode, era, response, nil
+	}
+	return 0, era, nil, fmt.Errorf("%w: status %d", ErrOutcomeUnknown, resp.StatusCode)
+}
+
+// parseEra returns the era of a response, 0 if the service tells none.
+func parseEra(h http.Header) (revision.Era, error) {
+	v := h.Get(eraHeader)
+	if v == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%w: header %s: %w", ErrOutcomeUnknown, eraHeader, err)
 	}
-	return resp.StatusCode, response, nil
+	return revision.Era(era), nil
 }
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -40,5 +40,18 @@
 	return r.Version < o.Version
 }
 
+// versionBits is the number of bits of a packed revision below the era. A store that runs
+// 400 transactions a second needs 87 years to fill them.
+const versionBits = 40
+
+// Pack returns a number that orders revisions as Less does, for messages and records that
+// hold a single number. Without an era it is the version.
+func (r Revision) Pack() uint64 { return uint64(r.Era)<<versionBits + uint64(r.Version) }
+
+// Unpack returns the revision of a packed number.
+func Unpack(n uint64) Revision {
+	return Revision{Era: Era(n >> versionBits), Version: Version(n & (1<<versionBits - 1))}
+}
+
 // IsZero reports whether r is the zero Revision.
 func (r Revision) IsZero() bool { return r == Revision{} }
--- a/internal/revision/revision_test.go
+++ b/internal/revision/revision_test.go
@@ -20,6 +20,12 @@
 			if got := tt.a.Less(tt.b); got != tt.want {
 				t.Errorf("%v before %v: %t, want %t", tt.a, tt.b, got, tt.want)
 			}
+			if got := tt.a.Pack() < tt.b.Pack(); got != tt.want {
+				t.Errorf("packed, %v before %v: %t, want %t", tt.a, tt.b, got, tt.want)
+			}
+			if got := Unpack(tt.a.Pack()); got != tt.a {
+				t.Errorf("%v is %v after packing", tt.a, got)
+			}
 		})
 	}
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -57,6 +57,7 @@
 	s.mux.HandleFunc("GET /v1/hosts", s.withFaults(s.getHosts))
 	s.mux.HandleFunc("PUT /standin/hosts", s.putHosts)
 	s.mux.HandleFunc("PUT /standin/faults", s.putFaults)
+	s.mux.HandleFunc("PUT /standin/restore", s.putRestore)
 	s.mux.HandleFunc("GET /standin/counts", s.counts)
 	return s
 }
@@ -78,6 +79,15 @@
 	s.hosts = hosts
 }
 
+// Restore brings the table back with the state that it had the given time ago. What was
+// committed since is gone.
+func (s *Server) Restore(age time.Duration) { s.store.restore(s.clock.Now().Add(-age)) }
+
+// setEra adds the era of the table to a response.
+func (s *Server) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.store.currentEra(), 10))
+}
+
 // withFaults applies DelayMS and Down to a handler.
 func (s *Server) withFaults(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -87,6 +97,7 @@
 		if f.DelayMS > 0 {
 			s.clock.Sleep(time.Duration(f.DelayMS) * time.Millisecond)
 		}
+		s.setEra(w)
 		if f.Down {
 			http.Error(w, "the table service is down", http.StatusServiceUnavailable)
 			return
@@ -115,7 +126,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	revision, conflicts := s.store.commit(req.Writes)
+	revision, conflicts := s.store.commit(s.clock.Now(), req.Writes)
 	if s.shouldDropResponse() {
 		panic(http.ErrAbortHandler)
 	}
@@ -144,6 +155,11 @@
 	timeout := s.clock.After(min(time.Duration(waitMS)*time.Millisecond, maxChangesWait))
 	for {
 		rows, revision, changed := s.store.changesSince(q.Get("prefix"), since)
+		s.setEra(w)
+		if since > revision {
+			http.Error(w, "the table does not have that revision", http.StatusGone)
+			return
+		}
 		if len(rows) > 0 || waitMS <= 0 {
 			s.writeRows(w, rows, revision)
 			return
@@ -213,6 +229,17 @@
 	s.SetFaults(f)
 }
 
+func (s *Server) putRestore(w http.ResponseWriter, r *http.Request) {
+	var req struct {
+		AgeMS int64 `json:"age_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Restore(time.Duration(req.AgeMS) * time.Millisecond)
+}
+
 func (s *Server) counts(w http.ResponseWriter, _ *http.Request) {
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -11,8 +11,10 @@
 
 import (
 	"slices"
+	"sort"
 	"strings"
 	"sync"
+	"time"
 )
 
 // row is one versioned row. A deleted row stays as a tombstone, so that readers
@@ -40,18 +42,28 @@
 	rows     map[string]row
 	objects  map[string][]byte
 	revision uint64
-	changed  chan struct{} // closed and replaced by every commit
-	reads    uint64        // calls of changesSince
-	writes   uint64        // calls of commit, failed ones included
+	// era rises with each restore.
+	era uint64
+	// log has the rows of each commit, for restore.
+	log     []commitRecord
+	changed chan struct{} // closed and replaced by every commit
+	reads   uint64        // calls of changesSince
+	writes  uint64        // calls of commit, failed ones included
+}
+
+// commitRecord is the rows of one commit and when it was made.
+type commitRecord struct {
+	at   time.Time
+	rows []row
 }
 
 func newStore() *store {
-	return &store{rows: make(map[string]row), objects: make(map[string][]byte), changed: make(chan struct{})}
+	return &store{era: 1, rows: make(map[string]row), objects: make(map[string][]byte), changed: make(chan struct{})}
 }
 
 // commit applies all writes and returns the new revision. If any row does not
 // have the expected version, it applies none and returns these rows.
-func (s *store) commit(writes []write) (uint64, []row) {
+func (s *store) commit(now time.Time, writes []write) (uint64, []row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
@@ -71,18 +83,50 @@
 		return 0, conflicts
 	}
 	s.revision++
+	record := commitRecord{at: now}
 	for _, w := range writes {
-		s.rows[w.Key] = row{
+		r := row{
 			Key:      w.Key,
 			Version:  s.rows[w.Key].Version + 1,
 			Revision: s.revision,
 			Value:    w.Value,
 			Deleted:  w.Delete,
 		}
+		s.rows[w.Key] = r
+		record.rows = append(record.rows, r)
 	}
+	s.log = append(s.log, record)
+	s.notify()
+	return s.revision, nil
+}
+
+func (s *store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision, nil
+}
+
+// restore replaces the table by the state that it had at a time. Later commits are gone,
+// their numbers are given out again, and a new era begins.
+func (s *store) restore(to time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := sort.Search(len(s.log), func(i int) bool { return s.log[i].at.After(to) })
+	s.log = s.log[:n]
+	s.rows, s.revision = make(map[string]row), uint64(n)
+	for _, c := range s.log {
+		for _, r := range c.rows {
+			s.rows[r.Key] = r
+		}
+	}
+	s.era++
+	s.notify()
+}
+
+// currentEra returns the era of the table.
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 // changesSince returns the rows under a key prefix that changed after a
