--- a/internal/failover/era.go
+++ b/internal/failover/era.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -113,7 +114,8 @@
 // recorded it meanwhile.
 func (m *Manager) openEra(ctx context.Context, delay time.Duration) {
 	era, ok := m.awaitClosedEra(ctx, delay)
-	if !ok {
+	// A host that does not know the groups yet can't confirm their terms.
+	if !ok || len(m.Engine.Groups()) == 0 {
 		return
 	}
 	readAt := m.Engine.BootTime()
@@ -126,7 +128,12 @@
 	if st.Revision.Era != era || st.opening().Version != 0 {
 		return
 	}
-	if err := m.Store.OpenEra(ctx, st, m.confirmTerms(ctx)); err != nil && !errors.Is(err, ErrConflict) {
+	terms := m.confirmTerms(ctx)
+	err = m.Store.OpenEra(ctx, st, terms)
+	switch {
+	case err == nil:
+		m.event("", "", "era_opened", fmt.Sprintf("era %d, %d of %d groups confirmed", era, len(terms), len(m.Engine.Groups())))
+	case !errors.Is(err, ErrConflict):
 		m.event("", "", "era_not_opened", err.Error())
 	}
 }
