A model of the promotion lease with a store that comes back from a copy

Without the wait before an era is opened, without the recent proof of the lease, or with tokens counted from the stored one alone, there is one. A fourth guard, a margin after the end of a lease, had no counterexample in the model and was left out.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -74,4 +74,8 @@
 for guard in NO_PAUSE ONE_PAUSE ANY_REPLICA NO_WAIT NO_MISSING NO_AHEAD NO_DEMOTE NO_WORD LATE_CLAIM RESTART; do
   breaks switch.pml -D$guard
 done
+holds era.pml
+for guard in NO_SETTLE NO_PROOF NO_TOKEN_ERA; do
+  breaks era.pml -D$guard
+done
 echo "the models hold, and every guard is needed"
