--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -41,9 +41,6 @@
 	return revision.Unpack(uint64(r)).Era == revision.Unpack(uint64(o)).Era
 }
 
-// eraHeader is the response header with the era of the table service.
-const eraHeader = "Store-Era"
-
 // errOtherEra reports that the service does not have the requested revision, because it
 // has come back from a copy.
 var errOtherEra = errors.New("the table service has come back from a copy")
@@ -225,9 +222,9 @@
 	if err != nil {
 		return 0, 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	era, err := parseEra(resp.Header)
+	era, err := revision.ParseEra(resp.Header.Get(revision.EraHeader))
 	if err != nil {
-		return 0, 0, nil, err
+		return 0, 0, nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusConflict, http.StatusGone:
@@ -235,16 +232,3 @@
 	}
 	return 0, era, nil, fmt.Errorf("%w: status %d", ErrOutcomeUnknown, resp.StatusCode)
 }
-
-// parseEra returns the era of a response, 0 if the service tells none.
-func parseEra(h http.Header) (revision.Era, error) {
-	v := h.Get(eraHeader)
-	if v == "" {
-		return 0, nil
-	}
-	era, err := strconv.ParseUint(v, 10, 64)
-	if err != nil {
-		return 0, fmt.Errorf("%w: header %s: %w", ErrOutcomeUnknown, eraHeader, err)
-	}
-	return revision.Era(era), nil
-}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -14,6 +14,17 @@
 	standin "github.com/cumintrestle/cumintrestle/internal/standin/platform"
 )
 
+// valueOf returns the value of a declared row, "" if there is none.
+func valueOf(state *declared.State, key string) string {
+	rows, _ := state.RowsSince(0)
+	for _, r := range rows {
+		if r.Key == declared.Prefix+key {
+			return string(r.Value)
+		}
+	}
+	return ""
+}
+
 // TestDeclaredAfterRestore guards against a template that is accepted and not in force: the
 // table service, back from a copy, gives its commit a number that hosts have seen before.
 func TestDeclaredAfterRestore(t *testing.T) {
@@ -21,9 +32,9 @@
 		t.Run(fmt.Sprintf("commits lost: %d", lost), func(t *testing.T) {
 			clk := clock.NewMock()
 			srv := standin.NewServer(clk)
-			http := httptest.NewServer(srv)
-			defer http.Close()
-			c := &platform.Client{URL: http.URL}
+			web := httptest.NewServer(srv)
+			defer web.Close()
+			c := &platform.Client{URL: web.URL}
 			c.Init()
 			ctx := context.Background()
 			state := declared.NewState()
@@ -41,15 +52,7 @@
 				}
 				state.Merge(rows, at)
 			}
-			value := func(key string) string {
-				rows, _ := state.RowsSince(0)
-				for _, r := range rows {
-					if r.Key == declared.Prefix+key {
-						return string(r.Value)
-					}
-				}
-				return ""
-			}
+			value := func(key string) string { return valueOf(state, key) }
 			commit("a", "copied", 0)
 			follow()
 			clk.Add(time.Minute)
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -18,9 +18,30 @@
 //	newer := known.Less(read) // true
 package revision
 
+import (
+	"fmt"
+	"strconv"
+)
+
+// EraHeader is the header of the store's responses that tells the era.
+const EraHeader = "Store-Era"
+
 // Era counts how often the store has come back from a copy.
 type Era uint64
 
+// ParseEra returns the era of a header's value. A store that has never come back from a copy
+// may leave the header out.
+func ParseEra(value string) (Era, error) {
+	if value == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("header %s: %w", EraHeader, err)
+	}
+	return Era(era), nil
+}
+
 // Version numbers the transactions of one era. It increases with each of them.
 type Version uint64
 
--- a/internal/revision/revision_test.go
+++ b/internal/revision/revision_test.go
@@ -2,6 +2,21 @@
 
 import "testing"
 
+// TestParseEra guards against a header that cannot be read and is taken for the first era.
+func TestParseEra(t *testing.T) {
+	tests := []struct {
+		value string
+		want  Era
+		ok    bool
+	}{{"", 0, true}, {"3", 3, true}, {"-1", 0, false}, {"two", 0, false}}
+	for _, tt := range tests {
+		got, err := ParseEra(tt.value)
+		if got != tt.want || (err == nil) != tt.ok {
+			t.Errorf("the era of %q is %d, error %v; want %d", tt.value, got, err, tt.want)
+		}
+	}
+}
+
 // TestLess guards against comparing versions of two eras, where a lower version is newer.
 func TestLess(t *testing.T) {
 	tests := []struct {
