Switches of one host share a fencing token

Cause: a switch that claims the lease looked for others of its host before it counted itself, by a comparison that includes itself. With one other switch under way it took a new token, and the other one went on with the older.

What changed: switches are counted from before they claim; all that overlap use one token.

--- a/internal/failover/lease.go
+++ b/internal/failover/lease.go
@@ -32,7 +32,7 @@
 		return errRecordChanged
 	}
 	d := st.Lease
-	if ended || d.Holder != r.HostID || st.Now > d.Until || !r.hasOtherSwitches() {
+	if ended || d.Holder != r.HostID || st.Now > d.Until || !r.hasOtherClaims() {
 		d.Token = nextToken(d.Token, st.Revision)
 	}
 	d.Holder, d.Until = r.HostID, st.Now+leaseTime
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -77,13 +77,15 @@
 	inProgress map[session.Group]bool
 	// activeSwitches is the number of switches that this host has claimed and not ended.
 	activeSwitches int
-	receiveGaps    map[session.Group]receiveGap
-	knownLease     Lease
-	storeReadAt    replicaset.Instant
-	storeTime      time.Duration
-	era            eraState
-	hostCount      int
-	wg             sync.WaitGroup
+	// claims is the number of switches that this host claims or has claimed, and not ended.
+	claims      int
+	receiveGaps map[session.Group]receiveGap
+	knownLease  Lease
+	storeReadAt replicaset.Instant
+	storeTime   time.Duration
+	era         eraState
+	hostCount   int
+	wg          sync.WaitGroup
 }
 
 // receiveGap records since when the replicas of a group have received nothing.
--- a/internal/failover/manager_test.go
+++ b/internal/failover/manager_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // switchoverTests are the situations in which a switch starts, with the member that it
@@ -293,3 +294,29 @@
 		t.Errorf("the known lead is %s, want the recorded one", lead.ID)
 	}
 }
+
+// TestSwitchesOfOneHostShareAToken guards against a lower fencing token after a higher one: a
+// host that replaced two primaries at once took a new token for the second, and promoted the
+// first with the older token afterwards (soak, seed 1013 with hosts of two releases).
+func TestSwitchesOfOneHostShareAToken(t *testing.T) {
+	cluster := newFakeCluster()
+	cluster.silent["p"], cluster.silent["x"] = true, true
+	m, set := cluster.manager(t)
+	other := m.Engine.Group("h")
+	for id, role := range map[replicaset.EndpointID]replicaset.Role{"x": replicaset.Primary, "y": replicaset.Replica, "z": replicaset.Replica} {
+		cluster.reports[id] = replicaset.Status{Role: role, Term: 1, Received: at(1, 9)}
+		other.Register(m.Engine.BootTime(), replicaset.Member{ID: id, Group: "h", Address: string(id), Role: role, Slots: 1, Started: 1})
+	}
+	second := false
+	m.Promote = func(ctx context.Context, g session.Group, id replicaset.EndpointID, holder string, token uint64) error {
+		if !second {
+			second = true
+			m.switchover(ctx, other, other.Lead().Revision(), reasonSilent)
+		}
+		return cluster.promote(ctx, g, id, holder, token)
+	}
+	m.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
+	if n := len(cluster.tokens); n != 2 || cluster.tokens[1] < cluster.tokens[0] {
+		t.Errorf("two promotions have the tokens %v, want no lower one after a higher one", cluster.tokens)
+	}
+}
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -77,6 +77,8 @@
 // the given revision.
 func (m *Manager) switchover(ctx context.Context, set *replicaset.Set, suspected revision.Revision, reason string) {
 	r := &replacement{Manager: m, set: set, suspected: suspected, reason: reason}
+	m.addClaims(1)
+	defer m.addClaims(-1)
 	if err := r.claimSwitch(ctx, r.currentTerm(ctx)); err != nil {
 		m.event(set.Name, "", "switch_not_started", err.Error())
 		return
@@ -401,6 +403,21 @@
 	m.activeSwitches += delta
 }
 
+// addClaims adds delta to the number of switches that are claimed or being claimed.
+func (m *Manager) addClaims(delta int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.claims += delta
+}
+
+// hasOtherClaims reports whether this host has claimed another switch or is claiming one. All
+// of these use one token, as their promote calls are sent in any order.
+func (r *replacement) hasOtherClaims() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.claims > 1
+}
+
 // hasOtherSwitches reports whether this host is switching another group as well.
 func (r *replacement) hasOtherSwitches() bool {
 	r.mu.Lock()
