--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -23,6 +23,11 @@
 // If the host fails in between, another one takes over after the deadline in the group's
 // record. Each step can be repeated.
 //
+// The store may come back from a copy and lose leases and records. Promotions then wait until
+// a host has recorded the opening of the new era, after eraSettleTime: by then no host that
+// holds a lost lease sends promote calls. A lost record of a promotion is written again by a
+// host that knows it, or found by the terms that members report.
+//
 // # Usage
 //
 //	m := &failover.Manager{HostID: "host-1", Engine: e, Store: store, Promote: promote}
