--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -448,7 +448,11 @@
         ip, port = address.split(":")
         self.r, self.w = await asyncio.open_connection(ip, int(port), limit=1 << 21)
         self.w.write(f"START {database} {self.name}\r\n".encode())
-        line = await asyncio.wait_for(self.r.readuntil(b"\r\n"), 2)
+        try:
+            line = await asyncio.wait_for(self.r.readuntil(b"\r\n"), 2)
+        except asyncio.TimeoutError:
+            self.close()
+            raise
         if not line.startswith(b"READY"):
             self.close()
             raise Closed(line.decode().strip())
