Review case 2: a replica that lacks acknowledged commits is promoted

A host that starts after a replica was lost for good doesn't know of the loss. It promotes the other replica, which had received nothing for some seconds, though the primary lives and has all commits.

--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -164,6 +164,8 @@
         self.databases = []
         self.term = 1
         self.leader = None
+        # led has the promotions: the time, the database, and the data that its log had.
+        self.led = []
 
     async def start(self):
         for i, zone in enumerate(self.zones):
@@ -188,16 +190,18 @@
         if old is d:
             return
         self.term += 1
+        self.store.record.line("%s leads term %d with a log of %d" % (d.id, self.term, len(d.log)))
+        self.led.append((now(), d.id, {e[2] for e in d.log}))
         d.role, d.term, d.paused, d.applied = "primary", self.term, 0, len(d.log)
         d.register()
         asyncio.get_running_loop().call_later(1.0, self.follow, old)
         for o in self.databases:
-            if o not in (d, old) and o.paused <= self.term:
+            if o not in (d, old) and not o.deaf and not o.gone and o.paused <= self.term:
                 self.follow(o)
 
     def follow(self, d):
         """Makes a database follow the leader."""
-        if d is self.leader:
+        if d is self.leader or d.gone or d.deaf:
             return
         d.role, d.term = "replica", self.term
         d.log = list(self.leader.log)
@@ -218,6 +222,9 @@
         self.slow = 1.0
         # lost is the share of the answers to data statements that are lost.
         self.lost = 0.0
+        # A deaf replica receives nothing. A database that is gone has no connections.
+        self.deaf, self.gone = False, False
+        self.writers = set()
         self.free, self.queue = group.slots, []
         self.born, self.seq = int(time.time() * 1000), 0
         self.conns = 0
@@ -227,8 +234,8 @@
         self.address = ""
 
     async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 21)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 21)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
     def register(self):
         self.seq += 1
@@ -262,10 +269,23 @@
                 self.free += 1
         return True
 
+    async def leave(self, interval=1.2):
+        """Is lost for good, 1 s after its last report to the store.
+
+        The entry goes after three status report intervals without a report.
+        """
+        self.gone = True
+        self.server.close()
+        for w in list(self.writers):
+            w.transport.abort()
+        await asyncio.sleep(3 * interval - 1)
+        self.group.store.drop("servers", self.id)
+
     async def serve(self, r, w):
+        self.writers.add(w)
         self.conns += 1
         self.names += 1
-        c = Connection(self, f"{self.id}/{self.names}")
+        c = Connection(self, f"{self.id}/{self.names}", r)
         try:
             start = (await r.readuntil(b"\r\n")).decode().split()
             if len(start) < 3 or start[0] != "START" or start[1] != self.group.name or start[3:] not in ([], [self.id]):
@@ -283,6 +303,8 @@
                     return
                 ident, _, text = rest.partition(" ")
                 out = await c.query(ident, text)
+                if out is None:
+                    return
                 if ident != "-" and random.random() < self.lost:
                     self.record.line(f"lost the answer of {self.id} to {ident} {text}")
                     continue
@@ -293,6 +315,7 @@
             pass
         finally:
             self.conns -= 1
+            self.writers.discard(w)
             w.close()
 
     def applied_now(self):
@@ -304,23 +327,35 @@
         self.applied = n
         return n
 
-    async def commit(self, writes):
-        """Commits writes. The ack waits for one replica to receive them."""
+    async def commit(self, writes, closed):
+        """Commits writes and waits until one replica has received them.
+
+        Returns False if the database has lost the lead or the connection meanwhile.
+        The writes stay in the log then, and replicas receive them later.
+        """
+        term = self.term
+        if self.role != "primary":
+            return False
         for item, data in writes:
             self.log.append((self.term, item, data, now()))
         if not writes:
-            return
-        size, end = len(self.log), now() + 5
+            return True
+        size = len(self.log)
         await asyncio.sleep(0.002)
-        while now() < end:
-            received = False
-            for o in self.group.databases:
-                if o is not self and o.role == "replica" and o.term == self.term and o.paused <= o.term:
-                    o.log.extend(e[:3] + (now(),) for e in self.log[len(o.log):size])
-                    received = True
-            if received:
-                return
+        while self.role == "primary" and self.term == term and not closed():
+            if self.replicate(size):
+                return True
             await asyncio.sleep(0.01)
+        return False
+
+    def replicate(self, size):
+        """Sends the log up to a size to the replicas. Reports whether one received it."""
+        received = False
+        for o in self.group.databases:
+            if o is not self and o.role == "replica" and o.term == self.term and o.paused <= o.term and not o.deaf and not o.gone:
+                o.log.extend(e[:3] + (now(),) for e in self.log[len(o.log):size])
+                received = received or len(o.log) >= size
+        return received
 
     def digest(self):
         self.digests += 1
@@ -330,12 +365,16 @@
 class Connection:
     """The server's side of one connection to a database."""
 
-    def __init__(self, d, name):
-        self.d, self.name = d, name
+    def __init__(self, d, name, reader):
+        self.d, self.name, self.reader = d, name, reader
         # owner is the client of the open transaction: "" until its first statement.
         self.owner, self.plain, self.failed, self.writes = None, False, False, []
         self.values, self.prepared = {}, {}
 
+    def closed(self):
+        """Reports whether the other side has closed the connection."""
+        return self.reader.at_eof() or self.reader.exception() is not None
+
     def fail(self, code):
         self.failed = self.owner is not None
         return f"ERR {code} {self.d.id}\r\n"
@@ -399,6 +438,8 @@
             return self.fail("READONLY")
         if not await d.slot(work_of(item) if verb != "COMMIT" else 0.002):
             return self.fail("BUSY")
+        if verb == "WRITE" and d.role != "primary":
+            return self.fail("READONLY")
         client = ident.split("-")[0]
         d.record.line(f"run {d.id} connection {self.name} transaction of {self.owner!r} id {ident} text {text}")
         if self.owner == "":
@@ -415,13 +456,11 @@
             if self.owner is not None:
                 self.writes.append((item, data))
                 return d.digest()
-            await d.commit([(item, data)])
-            return d.digest()
+            return d.digest() if await d.commit([(item, data)], self.closed) else None
         if verb == "COMMIT":
             writes = self.writes
             self.owner, self.failed, self.writes = None, False, []
-            await d.commit(writes)
-            return d.digest()
+            return d.digest() if await d.commit(writes, self.closed) else None
         return self.fail("MALFORMED")
 
 
@@ -510,12 +549,15 @@
             "row_bytes": 65536, "heartbeat_ms": 1200, "memory_mb": 284, "cpu_share": 0.4,
             "link_mbps": 1000.0, "grace_s": grace_s, "drain_ms": 7000,
         }
+        self.values = settings
         self.settings = pathlib.Path(directory) / f"{name}.json"
-        self.settings.write_text(json.dumps(settings))
         self.log = pathlib.Path(directory) / f"{name}.log"
         self.process = None
 
     def start(self):
+        """Starts the process. It is told of the bootstrap at its first start only."""
+        self.settings.write_text(json.dumps(self.values))
+        self.values["bootstrap"] = False
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["CUMINTRESTLE_CONFIG"] = str(self.settings)
         with open(self.log, "ab") as log:
