--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 import standin  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LOAD_S, LOST_AT_S, LOST_FOR_S, LOST_X = 42.0, (5.0, 14.0, 23.0, 32.0), 2.5, 0.2
+LOAD_S, LOST_AT_S, LOST_FOR_S, LOST_X = 60.0, (5.0, 14.0, 23.0, 32.0, 41.0, 50.0), 2.5, 0.2
 ZONES = ["cymru-a", "lloegr-a", "iwerddon-a"]
 REGIONS = {"cymru-a": "cymru", "lloegr-a": "lloegr", "iwerddon-a": "iwerddon"}
 
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -492,6 +492,9 @@
         except asyncio.TimeoutError:
             self.close()
             raise
+        except (asyncio.IncompleteReadError, ConnectionError) as e:
+            self.close()
+            raise Closed(str(e)) from e
         if not line.startswith(b"READY"):
             self.close()
             raise Closed(line.decode().strip())
