--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -22,6 +22,19 @@
 BEGAN = time.monotonic()
 
 
+started = []
+
+
+def end_early(*_):
+    """Ends the processes that the script started if the script is ended early."""
+    for p in started:
+        p.kill()
+    os._exit(2)
+
+
+signal.signal(signal.SIGTERM, end_early)
+
+
 def now():
     """Seconds since the start of the script."""
     return time.monotonic() - BEGAN
@@ -565,6 +578,7 @@
         env["CUMINTRESTLE_CONFIG"] = str(self.settings)
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([str(BINARY), "serve"], cwd=ROOT, env=env, stdout=log, stderr=log)
+        started.append(self.process)
 
     def signal(self, number):
         if self.process is not None and self.process.poll() is None:
