Rate limits: spender, granter and a model of a fleet

Cause: accounts have limits that hold across all hosts. Change: the decisions of both sides, without I/O, and a property test that runs them in a model of hosts, links, the lease and faults.

--- /dev/null
+++ b/internal/ratelimit/bucket.go
@@ -0,0 +1,201 @@
+package ratelimit
+
+import (
+	"container/list"
+	"math"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// recoveryPart is the part of the rate that is granted while fallback rates of a former epoch are in use.
+	recoveryPart = 1 - fallbackPart
+	// fallbackFactor is the fallback rate relative to the recent use of an account at a host.
+	fallbackFactor = 1.5
+	// shareWait is the time after which a host asks again if others hold tokens ahead.
+	shareWait = 100 * time.Millisecond
+	// minAskAgain and maxAskAgain bound the time after which a host asks again when a bucket is empty.
+	minAskAgain = 20 * time.Millisecond
+	maxAskAgain = time.Second
+	// maxSpread bounds the time over which retries of refused operations are spread.
+	maxSpread = 10 * time.Second
+)
+
+// bucket is the token bucket of an account.
+type bucket struct {
+	account session.Account
+	limit   Limit
+	// at is the time of level and top. level is the number of tokens. top is what level would be if silent
+	// hosts had generated only what they have reported.
+	at         time.Duration
+	level, top float64
+	// ahead is the number of tokens that hosts hold ahead or have not reported as used. They may come back, so
+	// that they take up room in the bucket.
+	ahead float64
+	// reserved is the sum of the fallback rates that hosts may have, charged that of the silent hosts, and
+	// chargedHosts the number of the latter with a fallback rate.
+	reserved, charged float64
+	chargedHosts      int
+	// entries is the number of hosts with state for this account, use the sum of their recent use.
+	entries int
+	use     float64
+	// refused estimates the refused operations whose clients will retry. It shrinks at the account's rate.
+	refused   float64
+	refusedAt time.Duration
+	// nextAsk is when the host that was refused last should ask again.
+	nextAsk time.Duration
+	// loweredAt is the time of the last lowering of the limit.
+	loweredAt time.Duration
+	element   *list.Element
+}
+
+// newBucket returns the bucket of an account that had no use since the start of the term.
+func newBucket(a session.Account, l Limit, now time.Duration, t term) *bucket {
+	b := &bucket{account: a, limit: l, at: t.start, refusedAt: now, loweredAt: math.MinInt64 / 2}
+	b.settle(now, t)
+	return b
+}
+
+// settle updates the bucket to now.
+func (b *bucket) settle(now time.Duration, t term) {
+	if now <= b.at {
+		return
+	}
+	refill := b.limit.Rate * t.refillTime(b.at, now).Seconds()
+	cost := b.charged * (now - b.at).Seconds()
+	room := b.limit.depth() - b.ahead
+	b.level = min(b.level+refill-cost, max(room, 0))
+	b.top = min(b.top+refill, max(room, 0))
+	if b.charged > b.limit.Rate {
+		// Only a limit that was lowered while hosts are silent gets here. Nothing is granted for a window; a
+		// longer debt would not lower the operations in any window.
+		b.level = max(b.level, -b.limit.depth()-b.limit.Rate*maxValidity.Seconds())
+	}
+	b.at = now
+}
+
+// refillTime returns the time between two points in a term in which buckets are refilled, as full-rate time.
+func (t term) refillTime(from, to time.Duration) time.Duration {
+	reduced := max(min(to, t.reducedUntil)-from, 0)
+	return to - from - reduced + time.Duration(float64(reduced)*recoveryPart)
+}
+
+// changeLimit sets another limit. The bucket is settled.
+func (b *bucket) changeLimit(now time.Duration, l Limit, window time.Duration) {
+	old := b.limit
+	b.limit = l
+	if l.Rate < old.Rate || l.Burst < old.Burst {
+		b.loweredAt = now
+	}
+	// A raised burst is available at once, but a limit that is lowered and raised again and again must not fill
+	// the bucket each time.
+	if grown := l.depth() - old.depth(); grown > 0 && b.loweredAt+2*window < now {
+		b.level += grown
+		b.top += grown
+	}
+	room := max(l.depth()-b.ahead, 0)
+	b.level, b.top = min(b.level, room), min(b.top, room)
+	b.refused, b.nextAsk = 0, 0
+}
+
+// grant takes tokens for the waiting operations of a request and, if the bucket is more than half full, ahead.
+func (b *bucket) grant(it RequestItem) (granted uint32, ahead float64) {
+	waiting := float64(min(it.Waiting, it.Wanted))
+	n := max(min(waiting, math.Floor(b.level+1e-9)), 0)
+	if n == waiting {
+		spare := math.Floor(b.level - n - b.limit.depth()/2)
+		ahead = max(min(float64(it.Wanted)-n, spare), 0)
+	}
+	b.level -= n + ahead
+	b.top -= n + ahead
+	b.ahead += ahead
+	return uint32(n + ahead), ahead
+}
+
+// used notes that tokens held ahead were used.
+func (b *bucket) used(n float64) {
+	b.ahead = max(b.ahead-n, 0)
+}
+
+// giveBack puts tokens that were held ahead back.
+func (b *bucket) giveBack(n float64) {
+	b.ahead = max(b.ahead-n, 0)
+	b.level += n
+	b.top += n
+}
+
+// charge starts charging a silent host's fallback rate.
+func (b *bucket) charge(rate float64) {
+	if rate > 0 {
+		b.charged += rate
+		b.chargedHosts++
+	}
+}
+
+// uncharge ends that. Once no host is charged, all have reported and the charges beyond that are refunded.
+func (b *bucket) uncharge(rate float64) {
+	if rate <= 0 {
+		return
+	}
+	b.charged -= rate
+	b.chargedHosts--
+	if b.chargedHosts == 0 {
+		b.charged = 0
+		b.level = b.top
+	}
+}
+
+// forfeit ends charging for a host that will not report, so that nothing charged so far is refunded.
+func (b *bucket) forfeit(rate float64) {
+	b.top = b.level
+	b.uncharge(rate)
+}
+
+// fallbackRate returns the fallback rate for a host: in proportion to its recent use, at least the lowest useful
+// rate, and at most what other hosts leave.
+func (b *bucket) fallbackRate(e *entry, lowest float64) float64 {
+	if e.use <= 0 {
+		return 0
+	}
+	total := fallbackPart * b.limit.Rate
+	rate := fallbackFactor * e.use * min(1, total/(fallbackFactor*max(b.use, e.use)))
+	rate = min(max(rate, lowest), total-(b.reserved-e.reserved))
+	if rate < lowest {
+		return 0
+	}
+	return rate
+}
+
+// deny returns the time after which a host that was denied n tokens should ask again, the time over which retries
+// should be spread, and whether operations should wait for tokens that other hosts hold ahead.
+func (b *bucket) deny(now time.Duration, n float64, t term) (askAgain, spread time.Duration, wait bool) {
+	if b.ahead >= 1 {
+		return shareWait, 0, true
+	}
+	rate := b.limit.Rate
+	if now < t.reducedUntil {
+		rate *= recoveryPart
+	}
+	rate -= b.charged
+	if rate <= 0 {
+		return maxAskAgain, maxSpread, false
+	}
+	b.refused = max(b.refused-rate*(now-b.refusedAt).Seconds(), 0) + n
+	b.refused = min(b.refused, rate*maxSpread.Seconds())
+	b.refusedAt = now
+	next := now + seconds(min((1-b.level)/rate, maxAskAgain.Seconds()))
+	b.nextAsk = max(min(b.nextAsk, now+maxAskAgain), next)
+	askAgain = min(max(b.nextAsk-now, minAskAgain), maxAskAgain)
+	b.nextAsk += seconds(min(n/rate, maxAskAgain.Seconds()))
+	return askAgain, seconds(b.refused / rate), false
+}
+
+// idle reports whether the bucket is as a new one would be.
+func (b *bucket) idle(now time.Duration, t term) bool {
+	if b.entries > 0 || b.chargedHosts > 0 {
+		return false
+	}
+	b.settle(now, t)
+	return b.level >= newBucket(b.account, b.limit, now, t).level-1e-9
+}
--- /dev/null
+++ b/internal/ratelimit/hosts.go
@@ -0,0 +1,207 @@
+package ratelimit
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+const (
+	// arrivalsKept is the number of requests of a host whose arrival is kept until they are confirmed.
+	arrivalsKept = 4
+	// forgetAfter is the time after which a host without a message is forgotten. Repeated messages don't come
+	// that late.
+	forgetAfter = time.Minute
+	// sweepInterval and staleAfter let the state of accounts end that a host has dropped without saying so. A
+	// host reports on each account that it uses within idleAfter.
+	sweepInterval = 10 * time.Second
+	staleAfter    = 3 * idleAfter
+)
+
+type phase int
+
+const (
+	// answering hosts have received an answer within silenceLimit.
+	answering phase = iota
+	// silent hosts may use their fallback rates.
+	silent
+	// gone hosts have no fallback rates any more.
+	gone
+)
+
+// hostState is what the granter knows about a host.
+type hostState struct {
+	name        string
+	incarnation Incarnation
+	phase       phase
+	// last is the last request, received at lastAt.
+	last     Sequence
+	lastAt   time.Duration
+	arrivals [arrivalsKept]arrival
+	// confirmedAt is the arrival of the last request whose answer the host is known to have received, or that of
+	// the first one.
+	confirmedAt time.Duration
+	// leaseEnd is the latest end of the lease that the host was told.
+	leaseEnd time.Duration
+	entries  map[session.Account]*entry
+	// unconfirmed holds the entries with a fallback rate that the host may not have received.
+	unconfirmed []*entry
+	nextSweep   time.Duration
+	// eventAt is the time of the next change of the phase, index the place in the event queue or -1.
+	eventAt time.Duration
+	index   int
+}
+
+// arrival is the time at which a request arrived.
+type arrival struct {
+	sequence Sequence
+	at       time.Duration
+}
+
+// entry is the state of an account at a host.
+type entry struct {
+	bucket *bucket
+	// fallback is the rate in the last response, sent for request sequence. reserved is the highest rate that
+	// the host may have.
+	fallback, reserved float64
+	sequence           Sequence
+	unconfirmed        bool
+	// use is the last reported use, ahead the tokens granted ahead that the host may still hold.
+	use, ahead          float64
+	generated, returned uint64
+	touchedAt           time.Duration
+	// uncharged is the number of operations reported since the host was charged from silentAt on.
+	uncharged float64
+	silentAt  time.Duration
+}
+
+// advance updates the phases of hosts to now.
+func (g *Granter) advance(now time.Duration) {
+	g.now = max(g.now, now)
+	for len(g.events) > 0 && g.events[0].eventAt <= g.now {
+		h := g.events[0]
+		switch h.phase {
+		case answering:
+			h.phase = silent
+			for _, e := range h.entries {
+				e.bucket.settle(h.eventAt, g.term)
+				e.bucket.charge(e.reserved)
+				// Other hosts should not wait for what a silent host holds.
+				e.bucket.used(e.ahead)
+				e.ahead, e.uncharged, e.silentAt = 0, 0, h.eventAt
+			}
+		case silent:
+			g.forget(h)
+			h.phase = gone
+		case gone:
+			g.remove(h)
+			continue
+		}
+		g.schedule(h)
+	}
+}
+
+// schedule sets the time of a host's next change of phase.
+func (g *Granter) schedule(h *hostState) {
+	switch h.phase {
+	case answering:
+		h.eventAt = h.confirmedAt + silenceLimit
+	case silent:
+		h.eventAt = max(h.leaseEnd, h.confirmedAt+silenceLimit)
+	case gone:
+		h.eventAt = h.lastAt + forgetAfter
+	}
+	if h.index < 0 {
+		heap.Push(&g.events, h)
+		return
+	}
+	heap.Fix(&g.events, h.index)
+}
+
+// forget drops all entries of a host that won't report on them. What it was charged is not refunded.
+func (g *Granter) forget(h *hostState) {
+	at := g.now
+	if h.phase == silent && h.index >= 0 {
+		at = min(at, h.eventAt)
+	}
+	for _, e := range h.entries {
+		e.bucket.settle(at, g.term)
+		g.removeEntry(h, e)
+	}
+	h.unconfirmed = nil
+}
+
+func (g *Granter) remove(h *hostState) {
+	if h.index >= 0 {
+		heap.Remove(&g.events, h.index)
+	}
+	delete(g.hosts, h.name)
+}
+
+func (g *Granter) removeEntry(h *hostState, e *entry) {
+	b := e.bucket
+	if h.phase == silent && e.reserved > 0 {
+		b.forfeit(e.reserved)
+	}
+	b.reserved = max(b.reserved-e.reserved, 0)
+	b.used(e.ahead)
+	b.use -= e.use
+	b.entries--
+	if b.entries == 0 {
+		b.reserved, b.use, b.ahead = 0, 0, 0
+	}
+	delete(h.entries, b.account)
+}
+
+// reserve sets the highest rate that the host may have for an account.
+func (g *Granter) reserve(h *hostState, e *entry, rate float64) {
+	b := e.bucket
+	if h.phase == silent && rate != e.reserved {
+		b.settle(g.now, g.term)
+		if rate > 0 {
+			// Charged before the old rate is, so that there is no refund in between.
+			b.charge(rate)
+		}
+		b.uncharge(e.reserved)
+	}
+	b.reserved += rate - e.reserved
+	e.reserved = rate
+}
+
+// sweep drops entries of accounts that the host does not report on any more.
+func (g *Granter) sweep(h *hostState) {
+	if g.now < h.nextSweep {
+		return
+	}
+	h.nextSweep = g.now + sweepInterval
+	for _, e := range h.entries {
+		if !e.unconfirmed && g.now-e.touchedAt > staleAfter {
+			e.bucket.settle(g.now, g.term)
+			g.removeEntry(h, e)
+		}
+	}
+}
+
+// eventQueue is a heap of hosts by their next change of phase.
+type eventQueue []*hostState
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].eventAt < q[j].eventAt }
+func (q eventQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+func (q *eventQueue) Push(x any) {
+	h := x.(*hostState)
+	h.index = len(*q)
+	*q = append(*q, h)
+}
+
+func (q *eventQueue) Pop() any {
+	h := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	h.index = -1
+	return h
+}
--- /dev/null
+++ b/internal/ratelimit/model_test.go
@@ -0,0 +1,430 @@
+package ratelimit
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// The model runs the hosts of a fleet in steps, with a store that has the lease row and links that delay, lose,
+// repeat and reorder messages.
+
+const (
+	modelStep   = 10 * time.Millisecond
+	leaseTime   = 15 * time.Second
+	renewEvery  = 4 * time.Second
+	configDelay = 500 * time.Millisecond
+)
+
+// safeguard is one that a run leaves out.
+type safeguard int
+
+const (
+	noneRemoved safeguard = iota
+	validityFromSending
+	chargeSilentHosts
+	emptyBucketsAtStart
+	fallbackEndsWithLease
+	waitForOldLease
+	sumOfFallbackRates
+)
+
+type faultKind int
+
+const (
+	cut faultKind = iota
+	freeze
+	restart
+	storeDown
+	slow
+	loss
+	changeLimit
+	crash
+	faultKinds
+)
+
+// fault affects a host, or the granting host if host is -1, from at for the given time.
+type fault struct {
+	kind     faultKind
+	host     int
+	at, time time.Duration
+	// limit is that of a changed limit, delay the largest delay of a slow link.
+	limit Limit
+	delay time.Duration
+}
+
+// randomFault decodes a fault, so that a list of numbers can be shrunk.
+func randomFault(n uint32, hosts int, l Limit) fault {
+	f := fault{
+		kind: faultKind(n % 8), host: int(n>>3%16)%(hosts+1) - 1,
+		at:    time.Duration(n>>7%64) * 500 * time.Millisecond,
+		time:  []time.Duration{700, 2000, 6000, 14000}[n>>13%4] * time.Millisecond,
+		delay: []time.Duration{200, 700, 1500, 4000}[n>>15%4] * time.Millisecond,
+	}
+	factor := []float64{0.2, 0.5, 2, 4}[n>>17%4]
+	f.limit = Limit{Rate: l.Rate * factor, Burst: l.Burst * []float64{0.2, 1, 4}[n>>19%3]}
+	return f
+}
+
+type message struct {
+	at   time.Duration
+	host int
+	// incarnation is that of the receiving process; a link ends with it.
+	incarnation Incarnation
+	deliver     func()
+}
+
+type modelOp struct {
+	sendAt, until, retryAt, giveUp time.Duration
+}
+
+type modelHost struct {
+	id          int
+	offset      time.Duration
+	incarnation Incarnation
+	spender     *Spender
+	granter     *Granter
+	leaseEnd    time.Duration
+	renewAt     time.Duration
+	frozenUntil time.Duration
+	inbox       []func()
+	waiting     []modelOp
+	allowed     []modelOp
+	sentAt      map[Sequence]time.Duration
+	debt        float64
+	retryAll    bool
+}
+
+type leaseRow struct {
+	holder      int
+	incarnation Incarnation
+	epoch       Epoch
+	expires     time.Duration
+}
+
+type limitChange struct {
+	at    time.Duration
+	limit Limit
+}
+
+type model struct {
+	rng     *rand.Rand
+	now     time.Duration
+	hosts   []*modelHost
+	row     leaseRow
+	net     []message
+	faults  []fault
+	started []bool
+	history []limitChange
+	limit   Limit
+	sent    []time.Duration
+	refused map[string]int
+	remove  safeguard
+	// demand returns the rate of new operations at a host.
+	demand func(now time.Duration, host int) float64
+	// sendLate delays each operation until its token is about to end, poisson makes the demand irregular.
+	sendLate, poisson bool
+	spread            []time.Duration
+}
+
+const account session.Account = "a"
+
+func newModel(seed int64, hosts int, l Limit) *model {
+	m := &model{
+		rng: rand.New(rand.NewSource(seed)), now: time.Second, limit: l, refused: make(map[string]int), poisson: true,
+		row: leaseRow{holder: -1}, history: []limitChange{{0, l}},
+	}
+	m.demand = func(time.Duration, int) float64 { return 3 * l.Rate / float64(hosts) }
+	for i := range hosts {
+		h := &modelHost{id: i, offset: time.Duration(m.rng.Intn(1000)) * time.Second}
+		m.hosts = append(m.hosts, h)
+		m.start(h)
+	}
+	return m
+}
+
+// start starts a process of a host.
+func (m *model) start(h *modelHost) {
+	h.incarnation++
+	h.spender = &Spender{Bounds: DefaultBounds(), Host: fmt.Sprint("host-", h.id), Incarnation: h.incarnation}
+	h.spender.SetLimits(Limits{account: m.limit})
+	h.granter, h.waiting, h.allowed, h.inbox = nil, nil, nil, nil
+	h.sentAt = make(map[Sequence]time.Duration)
+}
+
+func (m *model) run(until time.Duration) {
+	m.started = make([]bool, len(m.faults))
+	for ; m.now < until; m.now += modelStep {
+		m.startFaults()
+		m.deliver()
+		for _, h := range m.hosts {
+			if h.frozenUntil <= m.now {
+				m.step(h)
+			}
+		}
+	}
+}
+
+// active calls f for each fault in effect, with the host that it affects.
+func (m *model) active(kind faultKind, f func(fault, int)) {
+	for _, ft := range m.faults {
+		if ft.kind != kind || m.now < ft.at || m.now >= ft.at+ft.time {
+			continue
+		}
+		id := ft.host
+		if id < 0 {
+			id = max(m.row.holder, 0)
+		}
+		f(ft, id)
+	}
+}
+
+func (m *model) startFaults() {
+	for i, f := range m.faults {
+		if m.started[i] || m.now < f.at {
+			continue
+		}
+		m.started[i] = true
+		h := m.hosts[max(f.host, 0)]
+		if f.host < 0 && m.row.holder >= 0 {
+			h = m.hosts[m.row.holder]
+		}
+		switch f.kind {
+		case freeze:
+			h.frozenUntil = max(h.frozenUntil, m.now+f.time)
+		case crash:
+			h.frozenUntil = max(h.frozenUntil, m.now+f.time)
+			m.start(h)
+		case restart:
+			m.start(h)
+		case changeLimit:
+			m.limit = f.limit
+			m.history = append(m.history, limitChange{m.now, f.limit}, limitChange{m.now + configDelay, f.limit})
+			for _, h := range m.hosts {
+				m.post(h, time.Duration(m.rng.Int63n(int64(configDelay))), func() { m.setLimit(h, f.limit) })
+			}
+		}
+	}
+}
+
+func (m *model) setLimit(h *modelHost, l Limit) {
+	h.spender.SetLimits(Limits{account: l})
+	if h.granter != nil {
+		h.granter.SetLimits(m.now+h.offset, Limits{account: l})
+	}
+}
+
+func (m *model) post(h *modelHost, delay time.Duration, f func()) {
+	m.net = append(m.net, message{m.now + delay, h.id, h.incarnation, f})
+}
+
+// send sends a message over the link between two hosts.
+func (m *model) send(from, to *modelHost, f func()) {
+	if from == to {
+		m.post(to, 0, f)
+		return
+	}
+	delay := time.Duration(1+m.rng.Intn(24)) * time.Millisecond
+	lost := false
+	m.active(cut, func(_ fault, id int) { lost = lost || id == from.id || id == to.id })
+	m.active(loss, func(_ fault, id int) {
+		lost = lost || (id == from.id || id == to.id) && m.rng.Intn(3) == 0
+	})
+	m.active(slow, func(f fault, id int) {
+		if id == from.id || id == to.id {
+			delay += time.Duration(m.rng.Int63n(int64(f.delay)))
+		}
+	})
+	if lost {
+		return
+	}
+	m.post(to, delay, f)
+	if len(m.faults) > 0 && m.rng.Intn(10) == 0 {
+		m.post(to, delay+time.Duration(m.rng.Intn(3000))*time.Millisecond, f)
+	}
+}
+
+func (m *model) deliver() {
+	late := m.net[:0]
+	var due []message
+	for _, msg := range m.net {
+		if msg.at > m.now {
+			late = append(late, msg)
+			continue
+		}
+		due = append(due, msg)
+	}
+	m.net = late
+	for _, msg := range due {
+		h := m.hosts[msg.host]
+		if h.incarnation == msg.incarnation {
+			h.inbox = append(h.inbox, msg.deliver)
+		}
+	}
+}
+
+func (m *model) step(h *modelHost) {
+	inbox := h.inbox
+	h.inbox = nil
+	for _, f := range inbox {
+		f()
+	}
+	m.stepLease(h)
+	m.stepOps(h)
+	// A restarted process knows the holder of the lease only from the store, which the model doesn't delay.
+	if m.row.holder < 0 {
+		return
+	}
+	if r, ok := h.spender.Request(m.now + h.offset); ok {
+		h.sentAt[r.Sequence] = m.now + h.offset
+		g := m.hosts[m.row.holder]
+		m.send(h, g, func() { m.handle(g, h, r) })
+	}
+}
+
+// handle answers a request at the granting host.
+func (m *model) handle(g, h *modelHost, r Request) {
+	if g.granter == nil {
+		return
+	}
+	if m.remove == chargeSilentHosts {
+		defer func() {
+			for _, hs := range g.granter.hosts {
+				hs.confirmedAt = g.granter.now + time.Hour
+			}
+		}()
+	}
+	resp := g.granter.Grant(m.now+g.offset, g.leaseEnd, r)
+	if resp.Epoch == 0 {
+		return
+	}
+	switch m.remove {
+	case fallbackEndsWithLease:
+		resp.Lease = time.Hour
+	case sumOfFallbackRates:
+		for i := range resp.Items {
+			resp.Items[i].Fallback = max(fallbackFactor*r.Items[i].Use, resp.Items[i].Fallback)
+		}
+	}
+	m.send(g, h, func() {
+		now := m.now + h.offset
+		sentAt, ok := h.sentAt[resp.Sequence]
+		if !ok || m.remove == validityFromSending {
+			sentAt = now
+		}
+		h.spender.Receive(now, sentAt, resp)
+		h.retryAll = true
+	})
+}
+
+func (m *model) stepLease(h *modelHost) {
+	down := false
+	m.active(storeDown, func(fault, int) { down = true })
+	if down || m.now < h.renewAt {
+		return
+	}
+	mine := m.row.holder == h.id
+	if h.granter != nil && mine {
+		m.row.expires, h.leaseEnd, h.renewAt = m.now+leaseTime, m.now+leaseTime+h.offset, m.now+renewEvery
+		return
+	}
+	if m.row.expires > m.now && !mine && m.remove != waitForOldLease {
+		return
+	}
+	if m.remove == waitForOldLease && !mine && m.row.holder >= 0 && m.hosts[m.row.holder].frozenUntil <= m.now {
+		return
+	}
+	rec := Recovery{Epoch: m.row.epoch + 1}
+	if mine && m.remove != waitForOldLease {
+		rec.ReducedUntil = m.row.expires + h.offset
+	}
+	m.row = leaseRow{holder: h.id, epoch: rec.Epoch, expires: m.now + leaseTime}
+	h.leaseEnd, h.renewAt = m.now+leaseTime+h.offset, m.now+renewEvery
+	h.granter = &Granter{Bounds: DefaultBounds()}
+	h.granter.Start(m.now+h.offset, rec)
+	h.granter.SetLimits(m.now+h.offset, Limits{account: m.limit})
+	if m.remove == emptyBucketsAtStart {
+		h.granter.term.start -= time.Hour
+	}
+}
+
+// stepOps sends allowed operations, and decides about waiting and new ones.
+func (m *model) stepOps(h *modelHost) {
+	now := m.now + h.offset
+	h.allowed = slices.DeleteFunc(h.allowed, func(o modelOp) bool {
+		if o.sendAt > now {
+			return false
+		}
+		if now < o.until {
+			m.sent = append(m.sent, m.now)
+		}
+		return true
+	})
+	waiting := h.waiting
+	h.waiting = nil
+	for _, o := range waiting {
+		switch {
+		case h.retryAll || o.retryAt > 0 && now >= o.retryAt:
+			m.decide(h, o, h.spender.Retry(now, account))
+		case now >= o.giveUp:
+			m.refused["unavailable"]++
+			h.spender.Abandon(now, account, true)
+		default:
+			h.waiting = append(h.waiting, o)
+		}
+	}
+	h.retryAll = false
+	rate := m.demand(m.now, h.id) * modelStep.Seconds()
+	if m.poisson {
+		rate *= m.rng.ExpFloat64()
+	}
+	for h.debt += rate; h.debt >= 1; h.debt-- {
+		m.decide(h, modelOp{giveUp: now + h.spender.WaitLimit(now, account)}, h.spender.Take(now, account))
+	}
+}
+
+func (m *model) decide(h *modelHost, o modelOp, v Verdict) {
+	now := m.now + h.offset
+	switch v.Kind {
+	case Allowed:
+		o.until, o.sendAt = v.Until, now
+		if m.sendLate {
+			o.sendAt = max(v.Until-modelStep, now)
+		}
+		h.allowed = append(h.allowed, o)
+	case Unknown:
+		o.retryAt = 0
+		if v.RetryAfter > 0 {
+			o.retryAt = now + v.RetryAfter
+		}
+		h.waiting = append(h.waiting, o)
+	case Exceeded:
+		m.refused["exceeded"]++
+		m.spread = append(m.spread, v.RetryAfter)
+	}
+}
+
+// check returns the first window in which more operations were sent than allowed. A lowered limit counts one window
+// after it came into force.
+func (m *model) check() error {
+	b := DefaultBounds()
+	first := 0
+	for i, t := range m.sent {
+		for m.sent[first] <= t-b.Window {
+			first++
+		}
+		allowed := 0.0
+		for k, c := range m.history {
+			if c.at <= t && (k == len(m.history)-1 || m.history[k+1].at > t-2*b.Window) {
+				allowed = max(allowed, b.Allowed(c.limit))
+			}
+		}
+		if n := float64(i - first + 1); n > allowed {
+			return fmt.Errorf("%v operations in the window before %v, allowed %v", n, t, allowed)
+		}
+	}
+	return nil
+}
--- a/internal/ratelimit/spender.go
+++ b/internal/ratelimit/spender.go
@@ -1,11 +1,36 @@
 package ratelimit
 
 import (
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
+const (
+	// minInterval bounds the messages of a host to 100 per second.
+	minInterval = 10 * time.Millisecond
+	// answerTimeout is the time after which an unanswered request is repeated with a new sequence number.
+	answerTimeout = 300 * time.Millisecond
+	// reviewInterval is the time between two reviews of all accounts in use at this host, and between two
+	// requests of a host that has a fallback rate but no demand.
+	reviewInterval = 300 * time.Millisecond
+	// idleAfter is the time after its last operation at which an account is dropped.
+	idleAfter = 10 * time.Second
+	// maxWait bounds the wait of an operation while there is hope for a token, patience its wait for an answer
+	// without a fallback rate.
+	maxWait  = 2 * time.Second
+	patience = time.Second
+	// neverDue is the time of the next request if none will be due without demand.
+	neverDue = time.Duration(math.MaxInt64)
+	// minRetry is the shortest retry time given to a client.
+	minRetry = 10 * time.Millisecond
+	// unavailableSpread is the time over which retries are spread when the granting host does not answer.
+	unavailableSpread = 2 * time.Second
+)
+
 // VerdictKind says what to do with an operation.
 type VerdictKind int
 
@@ -31,33 +56,262 @@
 	Bounds      Bounds
 	Host        string
 	Incarnation Incarnation
+
+	limits   map[session.Account]Limit
+	accounts map[session.Account]*spending
+	// queue holds the accounts to include in the next request: those with something to request or report, and
+	// those whose last item is not answered yet. askAt is the earliest askAt of the former.
+	queue []*spending
+	askAt time.Duration
+
+	epoch Epoch
+	// sequence is that of the last request, answered that of the last accepted response.
+	sequence, answered Sequence
+	inFlight           bool
+	// confirm is true if the granting host should learn that its last response was received, because that
+	// response withdrew a fallback rate and no other request may follow.
+	confirm bool
+	// lastSent is when the last request was sent, unansweredSince when the first one after the last answer was.
+	lastSent, unansweredSince time.Duration
+	nextReview                time.Duration
+	fallback                  fallback
+	retries                   spreader
+	stats                     SpenderStats
+}
+
+// fallback says when this host may generate tokens itself.
+type fallback struct {
+	// epoch is that of the valid fallback rates. While the granting host recovers, it is the former epoch.
+	epoch Epoch
+	// from and until bound the generation.
+	from, until time.Duration
+	// former is true while rates of the former epoch are used although the granting host answers.
+	former bool
+}
+
+func (f fallback) active(now time.Duration) bool {
+	return now >= f.from && now < f.until
+}
+
+// spreader returns evenly spread numbers.
+type spreader float64
+
+// next returns the next number in [0, 1). Successive numbers are a golden ratio apart, which spreads any count of
+// them evenly.
+func (p *spreader) next() float64 {
+	_, frac := math.Modf(float64(*p) + math.Phi)
+	*p = spreader(frac)
+	return frac
 }
 
 // SetLimits replaces the limits.
-func (s *Spender) SetLimits(limits map[session.Account]Limit) {}
+func (s *Spender) SetLimits(limits map[session.Account]Limit) {
+	s.limits = limits
+	for a, st := range s.accounts {
+		l, ok := limits[a]
+		if !ok {
+			s.remove(st)
+			continue
+		}
+		if l == st.limit {
+			continue
+		}
+		if l.Rate < st.limit.Rate {
+			st.rate *= l.Rate / st.limit.Rate
+		}
+		st.limit = l
+		st.emptyUntil = 0
+		s.enqueue(st, 0)
+	}
+}
 
 // Take decides about a new operation. If it returns Unknown, the operation counts as waiting until Retry returns
 // another verdict or Abandon is called.
-func (s *Spender) Take(now time.Duration, a session.Account) Verdict { return Verdict{} }
+func (s *Spender) Take(now time.Duration, a session.Account) Verdict {
+	st := s.accounts[a]
+	if st == nil {
+		l, ok := s.limits[a]
+		if !ok {
+			return Verdict{Kind: Allowed}
+		}
+		st = s.add(now, a, l)
+	}
+	v := s.decide(now, st)
+	if v.Kind == Unknown {
+		st.waiting++
+		s.enqueue(st, st.emptyUntil)
+	}
+	return v
+}
 
 // Retry decides about a waiting operation.
-func (s *Spender) Retry(now time.Duration, a session.Account) Verdict { return Verdict{} }
+func (s *Spender) Retry(now time.Duration, a session.Account) Verdict {
+	st := s.accounts[a]
+	if st == nil {
+		return s.Take(now, a)
+	}
+	v := s.decide(now, st)
+	if v.Kind != Unknown {
+		st.stopWaiting()
+		return v
+	}
+	// The account has no waiting operations if its limit was removed and set again meanwhile.
+	st.waiting = max(st.waiting, 1)
+	s.enqueue(st, st.emptyUntil)
+	return v
+}
 
 // Abandon ends the wait of an operation without a verdict and returns the time after which the client may retry.
 // refused is false if the client has gone.
-func (s *Spender) Abandon(now time.Duration, a session.Account, refused bool) time.Duration { return 0 }
+func (s *Spender) Abandon(now time.Duration, a session.Account, refused bool) time.Duration {
+	if refused {
+		s.stats.Unavailable++
+	}
+	st := s.accounts[a]
+	if st == nil {
+		return minRetry
+	}
+	st.stopWaiting()
+	return s.retryAfter(max(st.emptyUntil-now, 0), unavailableSpread)
+}
 
 // WaitLimit returns how long an operation that begins to wait now should wait before it is refused.
-func (s *Spender) WaitLimit(now time.Duration, a session.Account) time.Duration { return 0 }
+func (s *Spender) WaitLimit(now time.Duration, a session.Account) time.Duration {
+	st := s.accounts[a]
+	if st == nil {
+		return patience
+	}
+	if st.wait && now < st.emptyUntil {
+		return maxWait
+	}
+	if s.hasFallback(st) && s.fallback.until > max(now, s.fallback.from) {
+		start := max(s.fallback.from-now, 0)
+		next := seconds(float64(max(st.waiting, 1)) / st.rate)
+		return min(start+next, maxWait)
+	}
+	if s.unansweredSince > 0 {
+		return max(s.unansweredSince+patience-now, 0)
+	}
+	return patience
+}
 
-// Request returns the message to send to the granting host, and whether one is due.
-func (s *Spender) Request(now time.Duration) (Request, bool) { return Request{}, false }
+func (s *Spender) decide(now time.Duration, st *spending) Verdict {
+	if st.limit.blocked() {
+		s.stats.Exceeded++
+		return Verdict{Kind: Exceeded, RetryAfter: s.retryAfter(s.Bounds.Window, s.Bounds.Window)}
+	}
+	if until, ok := s.spend(now, st); ok {
+		st.use.add(now)
+		s.stats.Allowed++
+		if st.held() < st.target(now)/2 && now >= st.nextAhead {
+			s.enqueue(st, max(st.emptyUntil, 0))
+		}
+		return Verdict{Kind: Allowed, Until: until}
+	}
+	if now >= st.emptyUntil {
+		return Verdict{Kind: Unknown, RetryAfter: s.nextGenerated(now, st)}
+	}
+	if st.wait {
+		return Verdict{Kind: Unknown, RetryAfter: st.emptyUntil - now}
+	}
+	s.stats.Exceeded++
+	return Verdict{Kind: Exceeded, RetryAfter: s.retryAfter(st.emptyUntil-now, st.spread)}
+}
 
-// Receive processes a response to the request sent at sentAt. Afterwards every waiting operation must Retry.
-func (s *Spender) Receive(now, sentAt time.Duration, r Response) {}
+// spend uses a granted or a generated token and returns the time before which the operation must be sent.
+func (s *Spender) spend(now time.Duration, st *spending) (time.Duration, bool) {
+	s.stats.Expired += uint64(st.expire(now))
+	if until, ok := st.takeToken(); ok {
+		return until, true
+	}
+	if !s.hasFallback(st) || !s.fallback.active(now) {
+		return 0, false
+	}
+	if !st.generate(now, s.fallback.from) {
+		return 0, false
+	}
+	s.stats.Fallback++
+	if !s.fallback.former {
+		// Under the former epoch's rate the granting host has set the part aside and wants no report.
+		st.generated++
+		s.enqueue(st, 0)
+	}
+	return now + s.Bounds.Validity(st.limit) - seconds(1/st.rate), true
+}
 
-// NextRequest returns the time at which Request is due if there is no further demand.
-func (s *Spender) NextRequest(now time.Duration) time.Duration { return 0 }
+// hasFallback reports whether the account has a fallback rate that is high enough under its present limit.
+func (s *Spender) hasFallback(st *spending) bool {
+	return st.rate > 0 && st.rateEpoch == s.fallback.epoch && st.rate >= s.Bounds.minFallback(st.limit)*0.999
+}
+
+// nextGenerated returns the time until the next generated token, or 0 if there will be none.
+func (s *Spender) nextGenerated(now time.Duration, st *spending) time.Duration {
+	if !s.hasFallback(st) {
+		return 0
+	}
+	missing := 1.0
+	start := max(now, s.fallback.from)
+	if s.fallback.active(now) && st.generatedAt >= s.fallback.from {
+		missing = 1 - st.fluid
+	}
+	at := start + seconds(missing/st.rate)
+	if at >= s.fallback.until {
+		return 0
+	}
+	return max(at-now, time.Millisecond)
+}
+
+// retryAfter returns a retry time of at least base, spread evenly over the given time.
+func (s *Spender) retryAfter(base, spread time.Duration) time.Duration {
+	if s.retries == 0 {
+		s.retries = spreader(float64(xxhash.Sum64String(s.Host)>>11) / (1 << 53))
+	}
+	return max(base, minRetry) + time.Duration(s.retries.next()*float64(spread))
+}
+
+func (s *Spender) add(now time.Duration, a session.Account, l Limit) *spending {
+	if s.accounts == nil {
+		s.accounts = make(map[session.Account]*spending)
+	}
+	st := &spending{account: a, limit: l, created: now}
+	s.accounts[a] = st
+	return st
+}
+
+func (s *Spender) remove(st *spending) {
+	st.removed = true
+	delete(s.accounts, st.account)
+	// Its fallback rate is known to the granting host, which ends it when a request confirms the response.
+	s.confirm = s.confirm || st.rate > 0
+}
+
+// enqueue includes the account in a request from time at on.
+func (s *Spender) enqueue(st *spending, at time.Duration) {
+	if !st.queued {
+		if !st.listed {
+			s.queue = append(s.queue, st)
+			st.listed = true
+		}
+		st.queued = true
+		st.askAt = at
+	}
+	st.askAt = min(st.askAt, at)
+	s.askAt = min(s.askAt, st.askAt)
+}
 
 // Stats returns the counters.
-func (s *Spender) Stats(now time.Duration) SpenderStats { return SpenderStats{} }
+func (s *Spender) Stats(now time.Duration) SpenderStats {
+	out := s.stats
+	out.Accounts = len(s.accounts)
+	for _, st := range s.accounts {
+		if s.hasFallback(st) && now < s.fallback.until {
+			out.FallbackAccounts++
+		}
+	}
+	out.InFallback = s.fallback.active(now)
+	return out
+}
+
+func seconds(f float64) time.Duration {
+	return time.Duration(f * float64(time.Second))
+}
