--- /dev/null
+++ b/internal/engine/accountpool.go
@@ -0,0 +1,106 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// A connection belongs to one account. Where there are more accounts than connections,
+// an account that needs one takes the place of an idle connection of another account.
+const (
+	// openingShare is the part of an endpoint's slots that may open connections for
+	// accounts at a time. Opening one takes a slot as long as a short statement does.
+	openingShare = 0.5
+	// handoverWait is how long a request waits for a connection of its own account to be
+	// released while others take those of theirs. It is about the time in which a
+	// connection is opened.
+	handoverWait = 20 * time.Millisecond
+)
+
+// maxOpening returns how many connections may be opened for accounts at a time.
+func (p *pool) maxOpening() int { return max(int(float64(p.member.Slots)*openingShare), 1) }
+
+// reserveOpening reports whether a connection may be opened for an account now, and if so
+// counts it. If the pool is at its limit, or the endpoint has none left, the idle connection
+// that was used longest ago is closed to make room.
+func (p *pool) reserveOpening(a session.Account) bool {
+	if a == noAccount {
+		if !p.canOpen() {
+			return p.hasAccounts() && p.evictIdle() && p.countOpening(a)
+		}
+		return p.countOpening(a)
+	}
+	if p.closed || p.opening >= p.maxOpening() {
+		return false
+	}
+	if p.canOpen() || p.evictIdle() {
+		return p.countOpening(a)
+	}
+	return false
+}
+
+// countOpening counts a connection that is about to be opened.
+func (p *pool) countOpening(a session.Account) bool {
+	p.open++
+	if a != noAccount {
+		p.opening++
+	}
+	return true
+}
+
+// hasAccounts reports whether the pool has an idle connection of an account.
+func (p *pool) hasAccounts() bool { return len(p.idle) > 0 && p.idle[0].account != noAccount }
+
+// evictIdle closes the idle connection that was used longest ago. It returns false if none
+// is idle.
+func (p *pool) evictIdle() bool {
+	if p.closed || len(p.idle) == 0 {
+		return false
+	}
+	p.removeIdle(0).Close()
+	p.open--
+	p.evicted++
+	return true
+}
+
+// endOpening ends the opening of a connection for an account, and lets waiting requests open
+// the next ones.
+func (p *pool) endOpening(a session.Account) {
+	if a == noAccount {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	p.grantOpenings()
+}
+
+// grantOpenings lets waiting requests of accounts open connections, as many as may be opened
+// at a time.
+func (p *pool) grantOpenings() {
+	for len(p.waiting) > 0 && p.waiting[0].account != noAccount && p.reserveOpening(p.waiting[0].account) {
+		p.grantFirst(grant{mayDial: true})
+	}
+}
+
+// nextWaiter returns the request that gets a released connection of an account, or nil if the
+// connection is to make room for another account.
+func (p *pool) nextWaiter(a session.Account) *waiter {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	first := p.waiting[0]
+	if first.account == a {
+		return first
+	}
+	if p.now().Sub(first.since) >= handoverWait && p.opening < p.maxOpening() {
+		return nil
+	}
+	for _, w := range p.waiting {
+		if w.account == a {
+			return w
+		}
+	}
+	return nil
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -32,6 +32,11 @@
 	// Freshness, if set, tells the host that holds the connection to choose the log
 	// position that the endpoint must have reached for the first request.
 	Freshness *Freshness
+	// Account is the account that the call runs for. The connection has to be one of its own.
+	Account session.Account
+	// SendBy is when the first request has to be sent, 0 for no limit. It bounds how many
+	// operations of an account run in a window of its limit.
+	SendBy replicaset.Instant
 	// AnyState marks requests that do not depend on session state.
 	AnyState bool
 	Ops      []Op
@@ -76,14 +81,26 @@
 		if err := c.gate.enter(call.QueueDeadline, call.Class); err != nil {
 			return nil, NotSent(err)
 		}
+		if c.tooLate(call) {
+			c.gate.cancel()
+			return nil, NotSent(errSendByPassed)
+		}
 		began := c.gate.now()
 		out, err := c.run(call)
 		c.gate.leave(c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy)
 		return out, err
 	}
+	if c.tooLate(call) {
+		return nil, NotSent(errSendByPassed)
+	}
 	return c.run(call)
 }
 
+// tooLate reports whether the time by which a call has to be sent has passed.
+func (c *Conn) tooLate(call Call) bool {
+	return call.SendBy != 0 && c.bootTime != nil && c.bootTime() > call.SendBy
+}
+
 // commitsWrites reports whether the call ends with a commit of writes. Such a
 // call bypasses the gate: while it waits for replicas, it occupies no slot of
 // the endpoint.
@@ -211,6 +228,6 @@
 // connection. Such an error does not indicate a fault of the endpoint.
 func notAttempted(err error) bool {
 	var refused *DialError
-	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
+	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
 		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused)
 }
--- a/internal/engine/commitguards_test.go
+++ b/internal/engine/commitguards_test.go
@@ -14,7 +14,7 @@
 	behind := replicaset.Status{Role: replicaset.Replica, Term: 1, Received: session.Point{Term: 1, Position: 6}}
 	d := &commitGroup{reports: map[replicaset.EndpointID]replicaset.Status{"p": {Role: replicaset.Primary, Term: 1}, "a": behind, "b": behind}}
 	e := d.engine()
-	s, _ := e.Open("db")
+	s, _ := e.Open("db", "")
 	// The primary answers at 1/7. Neither registered replica has received more than 1/6.
 	if o := s.Run(Statement{ID: "w-1", Kind: Write, Text: "WRITE 1 x"}); o.Code == Done {
 		t.Error("a commit is acknowledged that no replica which a promotion asks has received")
@@ -33,7 +33,7 @@
 	g := e.group("g")
 	m, _ := g.Member("p")
 	p := e.pool(g, m)
-	c, err := e.dialMember(t.Context(), m)
+	c, err := e.dialMember(t.Context(), m, noAccount)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,7 +52,7 @@
 	e := d.engine()
 	provedAt := e.BootTime()
 	time.Sleep(200 * time.Millisecond)
-	s, _ := e.Open("db")
+	s, _ := e.Open("db", "")
 	if o := s.Run(Statement{ID: "w-1", Kind: Write, Text: "WRITE 1 x"}); o.Code != Done {
 		t.Fatal(o.Reason)
 	}
--- a/internal/engine/commitproof_test.go
+++ b/internal/engine/commitproof_test.go
@@ -26,7 +26,7 @@
 
 func (d *commitGroup) engine() *Engine {
 	e := &Engine{Zone: "z", Now: time.Now, BootTime: func() replicaset.Instant { return replicaset.Instant(time.Now().UnixNano()) }}
-	e.Dial = func(_ context.Context, m replicaset.Member) (*Conn, error) {
+	e.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
 		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...Op) ([]Outcome, error) {
 			if d.silent[m.ID] {
 				return nil, errors.New("i/o timeout")
@@ -119,7 +119,7 @@
 				e.startCommitProof(g, commitLead.Term)
 				time.Sleep(replicaset.CommitProofTime * 3 / 4)
 			}
-			s, o := e.Open("db")
+			s, o := e.Open("db", "")
 			if o.Code != Done {
 				t.Fatal(o.Reason)
 			}
@@ -158,7 +158,7 @@
 			if tt.expired {
 				time.Sleep(replicaset.CommitProofTime + time.Millisecond)
 			}
-			s, _ := e.Open("db")
+			s, _ := e.Open("db", "")
 			o := s.Run(Statement{ID: "w-1", Kind: Write, Text: "WRITE 1 x"})
 			if (o.Code == Done) != tt.acknowledged {
 				t.Errorf("the write is answered with %s (%s), want an acknowledgement: %t", o.Code, o.Reason, tt.acknowledged)
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -80,7 +80,10 @@
 	RunRemote func(Call) ([]Outcome, error)
 	EndLoan   func()
 
+	// account is the account whose statements the connection may run.
+	account   session.Account
 	gate      *gate
+	bootTime  func() replicaset.Instant
 	state     TxState
 	values    map[string]string
 	prepared  map[PreparedBody]string
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -35,7 +35,7 @@
 	if err == nil || errors.Is(err, errControlRefused) {
 		return st, err
 	}
-	direct, dialErr := e.dialMember(ctx, m)
+	direct, dialErr := e.dialMember(ctx, m, noAccount)
 	if dialErr != nil {
 		return replicaset.Status{}, errors.Join(err, dialErr)
 	}
@@ -56,10 +56,10 @@
 	return errors.As(err, &refused) && refused.Code != WrongEndpoint || errors.Is(err, errControlRefused) || errors.Is(err, errNoReport)
 }
 
-// dialMember opens a connection to an endpoint, and records whether another one answers at its
-// address.
-func (e *Engine) dialMember(ctx context.Context, m replicaset.Member) (*Conn, error) {
-	c, err := e.Dial(ctx, m)
+// dialMember opens a connection to an endpoint for an account, and records whether another
+// endpoint answers at its address.
+func (e *Engine) dialMember(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error) {
+	c, err := e.Dial(ctx, m, a)
 	var refused *DialError
 	if errors.As(err, &refused) && refused.Code == WrongEndpoint {
 		e.group(m.Group).RecordWrongEndpoint(e.BootTime(), m)
@@ -90,7 +90,7 @@
 // ControlDirect sends a control request over a new connection of this host. The endpoint
 // need not be a member of its group.
 func (e *Engine) ControlDirect(ctx context.Context, m replicaset.Member, op Op) (replicaset.Status, error) {
-	c, err := e.dialMember(ctx, m)
+	c, err := e.dialMember(ctx, m, noAccount)
 	if err != nil {
 		return replicaset.Status{}, fmt.Errorf("connect to endpoint %s: %w", m.ID, err)
 	}
@@ -109,11 +109,11 @@
 }
 
 // controlConn returns a connection for a control request, and a function that
-// releases it. It prefers a connection that is open already, because an endpoint
-// whose connections are all in use would refuse a new one.
+// releases it. It prefers a connection that is open already, of whichever account,
+// because an endpoint whose connections are all in use would refuse a new one.
 func (e *Engine) controlConn(ctx context.Context, p *pool) (*Conn, func(), error) {
 	p.mu.Lock()
-	idle := p.takeIdle(nil)
+	idle := p.takeAnyIdle()
 	p.mu.Unlock()
 	if idle != nil {
 		return idle, func() { p.release(idle) }, nil
@@ -122,14 +122,14 @@
 	if !ok {
 		deadline = e.Now().Add(proofTimeout)
 	}
-	c, err := e.acquireConn(p, deadline, classWrite, nil)
+	c, err := e.acquireConn(p, deadline, connNeed{class: classWrite})
 	if err == nil {
 		return c, func() { p.release(c) }, nil
 	}
 	if errors.Is(err, errFull) || errors.Is(err, errNoConnection) {
 		return nil, nil, err
 	}
-	c, err = e.dialMember(ctx, p.member)
+	c, err = e.dialMember(ctx, p.member, noAccount)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/engine/declared.go
+++ b/internal/engine/declared.go
@@ -32,6 +32,8 @@
 	TargetLatency time.Duration
 	// Priority orders callers; 0 is the highest.
 	Priority int
+	// Public databases are open to callers without an account.
+	Public bool
 }
 
 // GroupPolicy is the declared policy of a database group.
@@ -49,6 +51,10 @@
 	Version   uint64
 	Databases map[string]Database
 	Groups    map[session.Group]GroupPolicy
+	// Accounts has the client accounts, nil where accounts are not in use.
+	Accounts map[session.Account]Account
+	// Keys has the account of each key. A key that several accounts hold is missing.
+	Keys map[KeyDigest]session.Account
 	// IdleInTransaction is how long a transaction may stay idle before it is
 	// ended, 0 for no limit.
 	IdleInTransaction time.Duration
--- a/internal/engine/detour.go
+++ b/internal/engine/detour.go
@@ -16,13 +16,13 @@
 
 // acquireDirect returns a connection of this host, or one that another host
 // lends because this host cannot reach the endpoint.
-func (e *Engine) acquireDirect(p *pool, deadline time.Time, class int, values map[string]string) (*Conn, error) {
+func (e *Engine) acquireDirect(p *pool, deadline time.Time, need connNeed) (*Conn, error) {
 	if p.markedUnreachable() {
 		if c := e.detour(p); c != nil {
 			return c, nil
 		}
 	}
-	c, err := p.acquire(deadline, class, values)
+	c, err := p.acquire(deadline, need)
 	if err == nil || !isUnreachable(err) || e.Detours == nil {
 		return c, err
 	}
@@ -74,7 +74,7 @@
 	for {
 		time.Sleep(detourProbeInterval)
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		c, err := p.dial(ctx, p.member)
+		c, err := p.dial(ctx, p.member, noAccount)
 		cancel()
 		if err == nil {
 			c.Close()
--- a/internal/engine/detour_test.go
+++ b/internal/engine/detour_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
@@ -17,13 +19,13 @@
 	var open atomic.Bool
 	var borrowed atomic.Int64
 	e := &Engine{Zone: "z", Now: time.Now, BootTime: func() replicaset.Instant { return 1 }, Event: func(Event) {}}
-	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+	e.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
 		if !open.Load() {
 			return nil, errors.New("i/o timeout")
 		}
 		return &Conn{Close: func() {}}, nil
 	}
-	e.Lenders = func(replicaset.Member, int) ([]string, int) { return nil, 0 }
+	e.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return nil, 0 }
 	e.Detours = func(replicaset.Member) []string { return []string{"away", "near"} }
 	e.Borrow = func(address string, _ replicaset.Member, _ uint64, _ Call) (RemoteResult, error) {
 		if address == "away" {
@@ -35,7 +37,7 @@
 	m := replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}
 	p := e.pool(e.group("g"), m)
 	for range 3 {
-		c, err := e.acquireConn(p, time.Now().Add(time.Second), classRead, nil)
+		c, err := e.acquireConn(p, time.Now().Add(time.Second), connNeed{class: classRead})
 		if err == nil {
 			_, err = c.Run(Call{Ops: []Op{{Text: "READ 7"}}})
 		}
@@ -52,7 +54,7 @@
 			t.Fatal("direct connections are not used again")
 		}
 	}
-	if c, err := e.acquireConn(p, time.Now().Add(time.Second), classRead, nil); err != nil || c.EndLoan != nil {
+	if c, err := e.acquireConn(p, time.Now().Add(time.Second), connNeed{class: classRead}); err != nil || c.EndLoan != nil {
 		t.Errorf("a connection is borrowed although the endpoint can be reached (%v)", err)
 	}
 }
@@ -64,17 +66,17 @@
 	now := time.Now()
 	closed := 0
 	e := &Engine{Zone: "z", Now: func() time.Time { return now }, BootTime: func() replicaset.Instant { return 1 }, Event: func(Event) {}}
-	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+	e.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
 		return &Conn{Close: func() { closed++ }}, nil
 	}
 	m := replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}
 	p := e.pool(e.group("g"), m)
-	c, err := e.acquireConn(p, now.Add(time.Second), classRead, nil)
+	c, err := e.acquireConn(p, now.Add(time.Second), connNeed{class: classRead})
 	if err != nil {
 		t.Fatal(err)
 	}
 	p.release(c)
-	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2", ""}, 2 }
+	e.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return []string{"h1", "h2", ""}, 2 }
 	now = now.Add(surplusIdleTimeout + time.Millisecond)
 	e.Maintain()
 	if closed != 1 {
@@ -89,7 +91,7 @@
 	now := replicaset.Instant(time.Minute)
 	cut := newHolderEngine(&now)
 	var dials atomic.Int64
-	cut.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+	cut.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
 		dials.Add(1)
 		return nil, errors.New("i/o timeout")
 	}
@@ -105,7 +107,7 @@
 	}
 	e := newHolderEngine(&now)
 	var asked []string
-	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"cut", "well"}, 2 }
+	e.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return []string{"cut", "well"}, 2 }
 	e.Borrow = func(address string, _ replicaset.Member, _ uint64, _ Call) (RemoteResult, error) {
 		asked = append(asked, address)
 		if address == "cut" {
@@ -114,7 +116,7 @@
 		return RemoteResult{Outcomes: []Outcome{{}}}, nil
 	}
 	m, _ := e.group("g").Member("next")
-	c, err := e.acquireConn(e.pool(e.group("g"), m), deadline, classRead, nil)
+	c, err := e.acquireConn(e.pool(e.group("g"), m), deadline, connNeed{class: classRead})
 	if err == nil {
 		_, err = c.Run(call)
 	}
@@ -129,11 +131,11 @@
 	now := replicaset.Instant(time.Minute)
 	e := newHolderEngine(&now)
 	var dials atomic.Int64
-	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) {
+	e.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
 		dials.Add(1)
 		return nil, errors.New("i/o timeout")
 	}
-	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2"}, 2 }
+	e.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return []string{"h1", "h2"}, 2 }
 	e.Borrow = func(string, replicaset.Member, uint64, Call) (RemoteResult, error) {
 		return RemoteResult{}, NotSent(ErrEndpointUnreachable)
 	}
@@ -141,7 +143,7 @@
 	p := e.pool(e.group("g"), m)
 	deadline := time.Now().Add(time.Minute)
 	for range 5 {
-		c, err := e.acquireConn(p, deadline, classRead, nil)
+		c, err := e.acquireConn(p, deadline, connNeed{class: classRead})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,14 +26,18 @@
 	// BootTime returns the time since boot from a clock that also counts the time
 	// during which the host is suspended.
 	BootTime func() replicaset.Instant
-	// Dial opens a connection to an endpoint.
-	Dial func(ctx context.Context, m replicaset.Member) (*Conn, error)
-	// Lenders, if set, returns the hosts to use for connections to an endpoint,
-	// in order of preference; an empty address is this host. The first
+	// Dial opens a connection to an endpoint for the statements of one account.
+	Dial func(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error)
+	// Admit, if set, asks whether one more operation of an account may run, and waits
+	// for the decision until the deadline at most. The operation must be sent before
+	// sendBy. A refusal is a *LimitError.
+	Admit func(deadline time.Time, a session.Account) (sendBy replicaset.Instant, err error)
+	// Lenders, if set, returns the hosts to use for an account's connections to an
+	// endpoint, in order of preference; an empty address is this host. The first
 	// addresses, as many as holders, are the hosts that hold the connections and
 	// lend them to the others. holders is 0 if each host holds its own
 	// connections.
-	Lenders func(m replicaset.Member, maxConnections int) (addresses []string, holders int)
+	Lenders func(m replicaset.Member, maxConnections int, a session.Account) (addresses []string, holders int)
 	// Detours, if set, returns the hosts to ask for a connection to an endpoint
 	// that this host cannot reach, in order of preference.
 	Detours func(m replicaset.Member) (addresses []string)
@@ -263,7 +267,7 @@
 		ok = false
 	}
 	if !ok {
-		p = &pool{member: m, dial: e.dialMember, now: e.Now, gate: newGate(e.Now, m.Slots)}
+		p = &pool{member: m, dial: e.dialMember, now: e.Now, bootTime: e.BootTime, gate: newGate(e.Now, m.Slots)}
 		p.setShare(g.policy.MaxConnections, hosts)
 		g.pools[m.ID] = p
 	}
--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -60,7 +60,7 @@
 	}
 	wanted := false
 	for _, m := range g.Members() {
-		lenders, holders := e.Lenders(m, g.maxConnections())
+		lenders, holders := e.Lenders(m, g.maxConnections(), noAccount)
 		if holders == 0 {
 			continue
 		}
@@ -71,7 +71,8 @@
 			continue
 		}
 		p := e.pool(g, m)
-		if p.reservePrewarm() {
+		// A connection that is opened ahead of demand would belong to no account.
+		if !e.usesAccounts() && p.reservePrewarm() {
 			e.spawn("prewarm connection", p.prewarm)
 		}
 		wanted = wanted || p.inDemand(now)
@@ -189,7 +190,7 @@
 
 // prewarm opens the connection that reservePrewarm counted.
 func (p *pool) prewarm() {
-	c, err := p.connect(p.now().Add(dialTimeout), classRead)
+	c, err := p.connect(p.now().Add(dialTimeout), connNeed{class: classRead})
 	p.mu.Lock()
 	p.prewarming = false
 	p.mu.Unlock()
--- a/internal/engine/fresh_test.go
+++ b/internal/engine/fresh_test.go
@@ -17,7 +17,7 @@
 	lead := replicaset.Status{Role: replicaset.Primary, Term: 1, Received: session.Point{Term: 1, Position: 7}}
 	follows := replicaset.Status{Role: replicaset.Replica, Term: 1, Received: session.Point{Term: 1, Position: 6}}
 	e := newStatusEngine(now, map[replicaset.EndpointID]*replicaset.Status{"old": &lead, "next": &follows, "third": &follows})
-	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{""}, 1 }
+	e.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return []string{""}, 1 }
 	e.Apply(&Declared{Version: 1, Groups: map[session.Group]GroupPolicy{"g": {MaxConnections: 9, Synchronous: true}}})
 	e.Group("g").SetLead(1, replicaset.Lead{ID: "old", Term: 1, Version: 1})
 	return e
@@ -101,7 +101,7 @@
 	now := replicaset.Instant(time.Minute)
 	e := newHolderEngine(&now)
 	asked := 0
-	e.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2", "h3"}, 2 }
+	e.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return []string{"h1", "h2", "h3"}, 2 }
 	e.Borrow = func(string, replicaset.Member, uint64, Call) (RemoteResult, error) {
 		asked++
 		return RemoteResult{}, NotSent(ErrLenderUnavailable)
@@ -111,7 +111,7 @@
 	m, _ := g.Member("next")
 	p := e.pool(g, m)
 	for range 2 * nonHolderLimit {
-		c, err := e.acquireConn(p, time.Now().Add(time.Second), classRead, nil)
+		c, err := e.acquireConn(p, time.Now().Add(time.Second), connNeed{class: classRead})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -134,7 +134,9 @@
 func TestLenderSuspects(t *testing.T) {
 	now := replicaset.Instant(time.Minute)
 	e := newHolderEngine(&now)
-	e.Dial = func(context.Context, replicaset.Member) (*Conn, error) { return nil, errors.New("i/o timeout") }
+	e.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
+		return nil, errors.New("i/o timeout")
+	}
 	deadline := time.Now().Add(time.Second)
 	if _, err := e.Lend("g", "old", Call{QueueDeadline: deadline, Deadline: deadline}); err == nil {
 		t.Fatal("a connection to an unreachable endpoint is lent")
@@ -155,8 +157,8 @@
 	var mu sync.Mutex
 	reads := make(map[replicaset.EndpointID]int)
 	dial := e.Dial
-	e.Dial = func(ctx context.Context, m replicaset.Member) (*Conn, error) {
-		c, err := dial(ctx, m)
+	e.Dial = func(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error) {
+		c, err := dial(ctx, m, a)
 		do := c.Do
 		c.Do = func(deadline time.Time, ops ...Op) ([]Outcome, error) {
 			if ops[0].Kind != OpStatement {
@@ -184,7 +186,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			s, _ := e.Open("d")
+			s, _ := e.Open("d", "")
 			if o := s.Run(Statement{ID: "1", Kind: Read, Text: "READ 7"}); o.Code != Done {
 				t.Errorf("a read ends with %s: %s", o.Code, o.Reason)
 			}
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -151,6 +151,14 @@
 	return nil
 }
 
+// cancel ends an admission that was not used.
+func (g *gate) cancel() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.admitWaiting()
+}
+
 // leave ends a request that took the given time, adjusts the limit, and admits
 // waiting requests. shed reports that the endpoint refused the request as too
 // much load.
@@ -165,6 +173,11 @@
 	} else if now.Sub(g.decreasedAt) >= gateDecreaseInterval {
 		g.limit, g.decreasedAt = max(1, g.limit*gateDecrease), now
 	}
+	g.admitWaiting()
+}
+
+// admitWaiting admits waiting requests up to the limit.
+func (g *gate) admitWaiting() {
 	for len(g.waiting) > 0 && g.running < int(g.limit) {
 		g.running++
 		close(g.waiting[0].ready)
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -37,6 +37,9 @@
 	ErrNoConnection = errNoConnection
 )
 
+// ErrSendByPassed reports that the time to send a call had passed before its turn came.
+var ErrSendByPassed = errSendByPassed
+
 // ErrNoProof reports that there is no proof that a primary still leads.
 var ErrNoProof = errNoProof
 
@@ -100,7 +103,7 @@
 	if call.Proof && lead.ID != p.member.ID {
 		return nil, errNoProof
 	}
-	c, err := p.acquire(call.QueueDeadline, call.Class, call.SessionState.Values)
+	c, err := p.acquire(call.QueueDeadline, connNeed{account: call.Account, class: call.Class, values: call.SessionState.Values})
 	if err != nil || !call.Proof {
 		return c, err
 	}
@@ -129,7 +132,7 @@
 	if e.Lenders == nil || e.FetchKnowledge == nil {
 		return "", false
 	}
-	lenders, holders := e.Lenders(primary, g.maxConnections())
+	lenders, holders := e.Lenders(primary, g.maxConnections(), noAccount)
 	if holders == 0 || slices.Contains(lenders[:holders], "") {
 		return "", false
 	}
@@ -156,12 +159,12 @@
 }
 
 // mustBorrow reports whether this host uses connections to a member that another
-// host holds.
-func (e *Engine) mustBorrow(g *group, m replicaset.Member) bool {
+// host holds, for the statements of an account.
+func (e *Engine) mustBorrow(g *group, m replicaset.Member, a session.Account) bool {
 	if e.Lenders == nil {
 		return false
 	}
-	lenders, holders := e.Lenders(m, g.maxConnections())
+	lenders, holders := e.Lenders(m, g.maxConnections(), a)
 	return holders > 0 && lenders[0] != ""
 }
 
@@ -295,17 +298,17 @@
 }
 
 // acquireConn returns a connection of this host or a borrowed one.
-func (e *Engine) acquireConn(p *pool, until time.Time, class int, values map[string]string) (*Conn, error) {
+func (e *Engine) acquireConn(p *pool, until time.Time, need connNeed) (*Conn, error) {
 	if e.Lenders == nil {
-		return p.acquire(until, class, values)
+		return p.acquire(until, need)
 	}
-	lenders, holders := e.Lenders(p.member, p.maxConnections())
+	lenders, holders := e.Lenders(p.member, p.maxConnections(), need.account)
 	if holders == 0 {
-		return e.acquireDirect(p, until, class, values)
+		return e.acquireDirect(p, until, need)
 	}
 	p.setHolderShare(holders, slices.Contains(lenders[:holders], ""))
 	if lenders[0] == "" {
-		return e.acquireDirect(p, until, class, values)
+		return e.acquireDirect(p, until, need)
 	}
 	return e.borrowConn(p, lenders, false), nil
 }
@@ -316,7 +319,7 @@
 	if e.Lenders == nil {
 		return
 	}
-	if lenders, holders := e.Lenders(p.member, p.maxConnections()); holders > 0 {
+	if lenders, holders := e.Lenders(p.member, p.maxConnections(), noAccount); holders > 0 {
 		p.setHolderShare(holders, slices.Contains(lenders[:holders], ""))
 	}
 }
--- a/internal/engine/paused_test.go
+++ b/internal/engine/paused_test.go
@@ -33,11 +33,11 @@
 	started := time.Now()
 	e.BootTime = func() replicaset.Instant { return now.Add(time.Since(started)) }
 	dial := e.Dial
-	e.Dial = func(ctx context.Context, m replicaset.Member) (*Conn, error) {
+	e.Dial = func(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error) {
 		if m.ID == "third" {
 			return nil, errors.New("no route to host")
 		}
-		c, err := dial(ctx, m)
+		c, err := dial(ctx, m, a)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 const (
@@ -49,34 +50,53 @@
 	mayDial bool
 }
 
+// noAccount is the account of control requests, and of all work where accounts are not in use.
+const noAccount = session.Account("")
+
+// connNeed is what a request needs of a connection: the account that it belongs to, the class
+// in the queue, lowest first, and the session values that it has, if possible.
+type connNeed struct {
+	account session.Account
+	class   int
+	values  map[string]string
+}
+
 // waiter is a request that waits for a connection.
 type waiter struct {
-	ready chan grant
-	class int
+	ready   chan grant
+	class   int
+	account session.Account
+	since   time.Time
 }
 
 // pool holds this host's connections to one endpoint.
 type pool struct {
 	member replicaset.Member
-	dial   func(ctx context.Context, m replicaset.Member) (*Conn, error)
+	dial   func(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error)
 	now    func() time.Time
-	gate   *gate
+	// bootTime is the clock of Call.SendBy.
+	bootTime func() replicaset.Instant
+	gate     *gate
 
 	mu   sync.Mutex
 	idle []*Conn
 	// open counts the connections, including those being dialed. share is how
 	// many the host may always hold, limit the most that it may open.
-	open  int
-	share int
-	limit int
+	open int
+	// opening counts the connections being dialed for accounts.
+	opening int
+	share   int
+	limit   int
 	// lends means that this host holds the connections for other hosts, too.
 	lends bool
 	// endpointLimit is how many connections the endpoint accepts from all hosts
 	// together.
 	endpointLimit int
 	fullUntil     time.Time
-	waiting       []*waiter
-	closed        bool
+	// evicted counts the connections closed to make room for another account.
+	evicted int
+	waiting []*waiter
+	closed  bool
 	// unreachable means that this host cannot reach the endpoint.
 	unreachable        bool
 	detourBackoffUntil time.Time
@@ -97,28 +117,27 @@
 }
 
 // acquire returns a connection of this host, preferably an idle one that has the
-// given session values. Lower classes go first.
-func (p *pool) acquire(deadline time.Time, class int, values map[string]string) (*Conn, error) {
+// session values of the need. Lower classes go first.
+func (p *pool) acquire(deadline time.Time, need connNeed) (*Conn, error) {
 	p.mu.Lock()
 	if rest := p.fullUntil.Sub(p.now()); p.open == 0 && rest > 0 && p.fullUntil.Before(deadline) {
 		p.mu.Unlock()
 		time.Sleep(rest)
 		p.mu.Lock()
 	}
-	if c := p.takeIdle(values); c != nil {
+	if c := p.takeIdle(need); c != nil {
 		p.mu.Unlock()
 		return c, nil
 	}
-	if p.canOpen() {
-		p.open++
+	if p.reserveOpening(need.account) {
 		p.mu.Unlock()
-		return p.connect(deadline, class)
+		return p.connect(deadline, need)
 	}
 	if p.closed || p.open == 0 {
 		p.mu.Unlock()
 		return nil, errFull
 	}
-	w := &waiter{ready: make(chan grant, 1), class: class}
+	w := p.newWaiter(need)
 	ahead := p.enqueue(w)
 	if p.gate != nil && !p.gate.canServe(ahead+1, deadline) {
 		p.removeWaiter(w)
@@ -126,11 +145,15 @@
 		return nil, errOverloaded
 	}
 	p.mu.Unlock()
-	return p.wait(w, deadline, class)
+	return p.wait(w, deadline, need)
+}
+
+func (p *pool) newWaiter(need connNeed) *waiter {
+	return &waiter{ready: make(chan grant, 1), class: need.class, account: need.account, since: p.now()}
 }
 
 // wait waits until a queued waiter is served or the deadline has passed.
-func (p *pool) wait(w *waiter, deadline time.Time, class int) (*Conn, error) {
+func (p *pool) wait(w *waiter, deadline time.Time, need connNeed) (*Conn, error) {
 	t := time.NewTimer(deadline.Sub(p.now()))
 	defer t.Stop()
 	var g grant
@@ -146,7 +169,7 @@
 		return g.conn, nil
 	}
 	if g.mayDial {
-		return p.connect(deadline, class)
+		return p.connect(deadline, need)
 	}
 	return nil, errFull
 }
@@ -182,22 +205,40 @@
 	return false
 }
 
-// takeIdle removes and returns an idle connection, preferably one that has the
-// given session values. It returns nil if none is idle.
-func (p *pool) takeIdle(values map[string]string) *Conn {
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	best := n - 1
-	for i := n - 1; i >= 0; i-- {
-		if p.idle[i].hasValues(values) {
+// takeIdle removes and returns an idle connection of the account, preferably one that has
+// the session values. It returns nil if none is idle.
+func (p *pool) takeIdle(need connNeed) *Conn {
+	best := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].account != need.account {
+			continue
+		}
+		if best < 0 {
+			best = i
+		}
+		if p.idle[i].hasValues(need.values) {
 			best = i
 			break
 		}
 	}
-	c := p.idle[best]
-	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	if best < 0 {
+		return nil
+	}
+	return p.removeIdle(best)
+}
+
+// takeAnyIdle removes and returns the idle connection that was used last, of whichever
+// account. It returns nil if none is idle.
+func (p *pool) takeAnyIdle() *Conn {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	return p.removeIdle(len(p.idle) - 1)
+}
+
+func (p *pool) removeIdle(i int) *Conn {
+	c := p.idle[i]
+	p.idle = append(p.idle[:i], p.idle[i+1:]...)
 	return c
 }
 
@@ -207,7 +248,7 @@
 
 // connect dials a connection that is already counted in p.open. If the endpoint
 // has none left, it waits for one of the pool's other connections.
-func (p *pool) connect(deadline time.Time, class int) (*Conn, error) {
+func (p *pool) connect(deadline time.Time, need connNeed) (*Conn, error) {
 	limit := p.now().Add(dialTimeout)
 	short := deadline.Before(limit)
 	if !short {
@@ -215,14 +256,15 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	c, err := p.dial(ctx, p.member)
+	c, err := p.dial(ctx, p.member, need.account)
+	p.endOpening(need.account)
 	if err != nil && short && ctx.Err() != nil {
 		// The caller had too little time, which does not indicate a fault of the
 		// endpoint.
 		err = errors.Join(errNoConnection, err)
 	}
 	if err == nil {
-		c.gate = p.gate
+		c.gate, c.account, c.bootTime = p.gate, need.account, p.bootTime
 		if c.RoundTrip > 0 {
 			p.gate.noteRoundTrip(c.RoundTrip)
 		}
@@ -238,13 +280,19 @@
 	others := p.open
 	if !full || others == 0 {
 		p.failWaiters()
+		p.grantOpenings()
 		p.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{ready: make(chan grant, 1), class: class}
+	if p.reserveOpening(need.account) {
+		// An idle connection of another account was closed to make room.
+		p.mu.Unlock()
+		return p.connect(deadline, need)
+	}
+	w := p.newWaiter(need)
 	p.enqueue(w)
 	p.mu.Unlock()
-	return p.wait(w, deadline, class)
+	return p.wait(w, deadline, need)
 }
 
 // backoff returns how long no further connection is opened after the endpoint
@@ -281,19 +329,20 @@
 	if !c.reusable() || p.closed {
 		p.open--
 		c.Close()
-		if len(p.waiting) > 0 && p.canOpen() {
-			p.open++
+		if len(p.waiting) > 0 && p.reserveOpening(p.waiting[0].account) {
 			p.grantFirst(grant{mayDial: true})
 		}
 		p.failWaiters()
 		return
 	}
-	if len(p.waiting) > 0 {
-		p.grantFirst(grant{conn: c})
+	if w := p.nextWaiter(c.account); w != nil {
+		p.removeWaiter(w)
+		w.ready <- grant{conn: c}
 		return
 	}
 	c.idleSince = p.now()
 	p.idle = append(p.idle, c)
+	p.grantOpenings()
 }
 
 func (p *pool) grantFirst(g grant) {
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
-func testPool(dial func(context.Context, replicaset.Member) (*Conn, error)) (*pool, *time.Time) {
+func testPool(dial func(context.Context, replicaset.Member, session.Account) (*Conn, error)) (*pool, *time.Time) {
 	now := time.Now()
 	p := &pool{dial: dial, now: func() time.Time { return now }}
 	p.setShare(0, 1)
@@ -21,14 +23,14 @@
 // endpoint spent its time on refusals.
 func TestPoolBacksOffFromFullEndpoint(t *testing.T) {
 	dials := 0
-	p := &pool{now: time.Now, dial: func(context.Context, replicaset.Member) (*Conn, error) {
+	p := &pool{now: time.Now, dial: func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
 		dials++
 		return nil, &DialError{Code: TooManyConnections}
 	}}
 	p.setShare(0, 1)
 	const span = 10 * emptyBackoff
 	for end := time.Now().Add(span); time.Now().Before(end); {
-		_, err := p.acquire(time.Now().Add(time.Second), classRead, nil)
+		_, err := p.acquire(time.Now().Add(time.Second), connNeed{class: classRead})
 		var refused *DialError
 		if !errors.As(err, &refused) {
 			t.Fatalf("a full endpoint returns %v", err)
@@ -42,16 +44,18 @@
 // TestPoolHandsOnWritesFirst covers transactions that hold all connections: a
 // waiting write gets the next free one before waiting reads.
 func TestPoolHandsOnWritesFirst(t *testing.T) {
-	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
+	p, now := testPool(func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
+		return &Conn{Close: func() {}}, nil
+	})
 	deadline := now.Add(time.Minute)
-	a, _ := p.acquire(deadline, classRead, nil)
-	if b, err := p.acquire(deadline, classRead, nil); err != nil || b == a {
+	a, _ := p.acquire(deadline, connNeed{class: classRead})
+	if b, err := p.acquire(deadline, connNeed{class: classRead}); err != nil || b == a {
 		t.Fatal("no second connection")
 	}
 	got := make(chan string, 2)
 	wait := func(class int, name string, waiting int) {
 		go func() {
-			c, err := p.acquire(deadline, class, nil)
+			c, err := p.acquire(deadline, connNeed{class: class})
 			if err == nil {
 				got <- name
 				p.release(c)
@@ -74,18 +78,18 @@
 // its connections: waiting requests must fail at once.
 func TestPoolFailsWaitersOfLostEndpoint(t *testing.T) {
 	up := true
-	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) {
+	p, now := testPool(func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
 		if !up {
 			return nil, errors.New("refused")
 		}
 		return &Conn{Close: func() {}}, nil
 	})
 	deadline := now.Add(time.Minute)
-	a, _ := p.acquire(deadline, classRead, nil)
-	b, _ := p.acquire(deadline, classRead, nil)
+	a, _ := p.acquire(deadline, connNeed{class: classRead})
+	b, _ := p.acquire(deadline, connNeed{class: classRead})
 	failed := make(chan error, 1)
 	go func() {
-		_, err := p.acquire(deadline, classRead, nil)
+		_, err := p.acquire(deadline, connNeed{class: classRead})
 		failed <- err
 	}()
 	for _, _, n := p.stats(); n < 1; _, _, n = p.stats() {
@@ -104,18 +108,20 @@
 // connection is refused at once when more are waiting than the primary can serve
 // in time.
 func TestPoolTurnsAway(t *testing.T) {
-	p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
+	p, now := testPool(func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
+		return &Conn{Close: func() {}}, nil
+	})
 	p.gate = newGate(p.now, 1)
 	p.gate.serviceTime = 100 * time.Millisecond
 	for range 2 {
-		if _, err := p.acquire(now.Add(time.Second), classRead, nil); err != nil {
+		if _, err := p.acquire(now.Add(time.Second), connNeed{class: classRead}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	results := make(chan error, 40)
 	for range cap(results) {
 		go func() {
-			_, err := p.acquire(now.Add(time.Second), classRead, nil)
+			_, err := p.acquire(now.Add(time.Second), connNeed{class: classRead})
 			results <- err
 		}()
 	}
@@ -147,7 +153,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			p, now := testPool(func(context.Context, replicaset.Member) (*Conn, error) { return &Conn{Close: func() {}}, nil })
+			p, now := testPool(func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
+				return &Conn{Close: func() {}}, nil
+			})
 			p.member.Slots = 2
 			p.setShare(21, 7)
 			if tt.lent {
@@ -155,7 +163,7 @@
 			}
 			var open []*Conn
 			for range tt.used {
-				c, err := p.acquire(now.Add(time.Minute), classRead, nil)
+				c, err := p.acquire(now.Add(time.Minute), connNeed{class: classRead})
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/engine/proof_test.go
+++ b/internal/engine/proof_test.go
@@ -18,7 +18,7 @@
 		Zone: "z", Now: time.Now, BootTime: func() replicaset.Instant { return *now },
 		Event: func(Event) {},
 	}
-	e.Dial = func(_ context.Context, m replicaset.Member) (*Conn, error) {
+	e.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
 		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(time.Time, ...Op) ([]Outcome, error) {
 			return []Outcome{{Report: *reports[m.ID]}}, nil
 		}}, nil
@@ -135,7 +135,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			now := replicaset.Instant(time.Minute)
 			e := newStatusEngine(&now, nil)
-			e.Dial = func(context.Context, replicaset.Member) (*Conn, error) { return nil, errors.New("i/o timeout") }
+			e.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
+				return nil, errors.New("i/o timeout")
+			}
 			readAt := now.Add(-200 * time.Millisecond)
 			e.RecordedLead = func(session.Group) (replicaset.Lead, replicaset.Instant, error) { return tt.recorded, readAt, tt.err }
 			g := e.group("g")
@@ -173,16 +175,16 @@
 	}
 	m, _ := g.Member("old")
 	deadline := time.Now().Add(time.Second)
-	c, err := e.pool(g, m).acquire(deadline, classRead, nil)
+	c, err := e.pool(g, m).acquire(deadline, connNeed{class: classRead})
 	if err != nil {
 		t.Fatal(err)
 	}
 	dial := e.Dial
-	e.Dial = func(ctx context.Context, m replicaset.Member) (*Conn, error) {
+	e.Dial = func(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error) {
 		if m.ID == "old" {
 			return nil, &DialError{Code: TooManyConnections}
 		}
-		return dial(ctx, m)
+		return dial(ctx, m, a)
 	}
 	e.pool(g, m).dial = e.Dial
 	if err := e.prove(g, g.Lead(), now, c); err != nil {
--- a/internal/engine/readproof_test.go
+++ b/internal/engine/readproof_test.go
@@ -42,7 +42,7 @@
 		Databases: map[string]Database{"db": {Name: "db", Group: "g", StatementTimeout: 400 * time.Millisecond}},
 	})
 	time.Sleep(ProofTime + ProofMargin)
-	s, _ := e.Open("db")
+	s, _ := e.Open("db", "")
 	if o := s.Run(Statement{ID: "w-1", Kind: Write, Text: "WRITE 1 x"}); o.Code == Done {
 		t.Error("a commit is acknowledged by the word of one unpaused replica after a gap in which a promotion fits")
 	}
--- a/internal/engine/report_test.go
+++ b/internal/engine/report_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
@@ -27,11 +29,11 @@
 	follows := replicaset.Status{Role: replicaset.Replica, Term: 1}
 	e := newStatusEngine(&now, map[replicaset.EndpointID]*replicaset.Status{"old": {Role: replicaset.Primary, Term: 1}, "next": &follows})
 	dial := e.Dial
-	e.Dial = func(ctx context.Context, m replicaset.Member) (*Conn, error) {
+	e.Dial = func(ctx context.Context, m replicaset.Member, a session.Account) (*Conn, error) {
 		if m.ID == "third" {
 			return nil, &DialError{Code: WrongEndpoint}
 		}
-		return dial(ctx, m)
+		return dial(ctx, m, a)
 	}
 	set := e.Group("g")
 	before := set.MissingReplicas()
--- a/internal/engine/reuse_test.go
+++ b/internal/engine/reuse_test.go
@@ -40,7 +40,7 @@
 	values       map[string]string
 }
 
-func (d *pinnedEndpoint) dial(_ context.Context, m replicaset.Member) (*Conn, error) {
+func (d *pinnedEndpoint) dial(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
 	c := &pinnedConn{pinnedEndpoint: d, values: make(map[string]string)}
 	return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...Op) ([]Outcome, error) {
 		d.mu.Lock()
@@ -158,7 +158,7 @@
 }
 
 func openPinned(t *testing.T, e *Engine, name string) *pinnedSession {
-	s, o := e.Open("db")
+	s, o := e.Open("db", "")
 	if s == nil {
 		t.Fatalf("session %s is refused: %v", name, o)
 	}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -72,6 +72,9 @@
 // runSingle runs one statement outside of a transaction.
 func (s *CallerSession) runSingle(q query) Outcome {
 	deadline := s.deadline(s.db)
+	if err := s.admitOperation(deadline); err != nil {
+		return s.giveUp(q, refusalOutcome(err))
+	}
 	g := s.e.group(s.db.Group)
 	if q.writes {
 		return s.runWrite(g, q, deadline)
@@ -98,18 +101,25 @@
 	proof     bool
 	lead      replicaset.Lead
 	arrivedAt replicaset.Instant
+	// account is the account that the statement runs for, and sendBy the time by which it
+	// has to be sent, 0 for none.
+	account session.Account
+	sendBy  replicaset.Instant
 }
 
 // call returns a call of the given requests within the limits of the attempt.
 func (a attempt) call(state SessionState, ops ...Op) Call {
-	return Call{QueueDeadline: a.queueDeadline, Deadline: a.deadline, Class: a.class, Proof: a.proof, Freshness: a.freshness, SessionState: state, Ops: ops}
+	return Call{QueueDeadline: a.queueDeadline, Deadline: a.deadline, Class: a.class, Proof: a.proof, Freshness: a.freshness, Account: a.account, SendBy: a.sendBy, SessionState: state, Ops: ops}
 }
 
 // connectAttempt returns a connection for an attempt. On a connection of this
 // host it first obtains the proof or the log position that the attempt requires;
 // for a borrowed connection the lending host does so.
 func (s *CallerSession) connectAttempt(a *attempt, p *pool) (*Conn, error) {
-	c, err := s.e.acquireConn(p, a.queueDeadline, a.class, s.values)
+	if err := s.admitAttempt(a); err != nil {
+		return nil, err
+	}
+	c, err := s.e.acquireConn(p, a.queueDeadline, connNeed{account: a.account, class: a.class, values: s.values})
 	if err != nil || c.RunRemote != nil {
 		return c, err
 	}
@@ -141,8 +151,10 @@
 	out, err := s.e.perform(a.g, a.member, c, a.call(s.sessionState(q), op))
 	if err != nil {
 		s.e.noteFailure(a.g, p, err)
+		s.noteSent(Sent(err))
 		return refusalOutcome(err), Sent(err), err
 	}
+	s.noteSent(!out[0].Code.notRun())
 	return out[0], true, nil
 }
 
@@ -238,7 +250,7 @@
 	f := s.freshness(g, db)
 	need, known := g.RequiredPoint(began, f.MaxAge, f.Seen)
 	order, promising := g.ReadOrder(s.e.BootTime(), need, tried)
-	if !known && (findPosition || len(order) == 0 || !s.e.mustBorrow(g, order[0])) {
+	if !known && (findPosition || len(order) == 0 || !s.e.mustBorrow(g, order[0], s.account)) {
 		s.e.awaitPosition(g, deadline)
 		if need, known = g.RequiredPoint(began, f.MaxAge, f.Seen); !known {
 			return attempt{}, false, false
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -14,6 +14,15 @@
 	e        *Engine
 	database string
 	db       Database
+	// key is the digest of the key that the caller showed, and account the account that it
+	// belongs to in the configuration resolved.
+	key      KeyDigest
+	account  session.Account
+	resolved *Declared
+	// sendBy is when the operation that was admitted last has to be sent, if it has not been
+	// sent yet.
+	sendBy   replicaset.Instant
+	admitted bool
 	// seen is the log position in each group that the session's reads must
 	// include.
 	seen     map[session.Group]session.Point
@@ -56,17 +65,21 @@
 	wrote    bool
 }
 
-// Open starts a session on a database.
-func (e *Engine) Open(database string) (*CallerSession, Outcome) {
+// Open starts a session on a database. key is what the caller showed; it is not used where
+// accounts are not in use.
+func (e *Engine) Open(database, key string) (*CallerSession, Outcome) {
 	d := e.declared.Load()
 	if d == nil {
 		return nil, Outcome{Code: Busy, Reason: "no configuration yet"}
 	}
-	db, ok := d.Databases[database]
-	if !ok {
-		return nil, Outcome{Code: UnknownDatabase, Reason: database}
+	s := &CallerSession{e: e, database: database}
+	if d.Accounts != nil {
+		s.key = e.DigestKey(key)
+	}
+	if o := s.resolve(); o.Code != Done {
+		return nil, o
 	}
-	return &CallerSession{e: e, database: database, db: db}, Outcome{}
+	return s, Outcome{}
 }
 
 // State returns the transaction state between two statements.
@@ -141,8 +154,8 @@
 	if s.tx != nil {
 		return s.runInTransaction(q)
 	}
-	if !s.reloadDatabase() {
-		return Outcome{Code: UnknownDatabase, Reason: s.database}
+	if o := s.resolve(); o.Code != Done {
+		return o
 	}
 	return s.runSingle(q)
 }
@@ -161,22 +174,32 @@
 	return Outcome{Code: Malformed, Reason: "the transaction has failed"}
 }
 
-// reloadDatabase reads the session's database from the configuration in force.
-// It returns false if the database is no longer declared.
-func (s *CallerSession) reloadDatabase() bool {
-	db, ok := s.e.declared.Load().Databases[s.database]
-	if ok {
-		s.db = db
+// resolve looks up the session's database and account in the configuration in force. It
+// returns a refusal if either is not declared any more.
+func (s *CallerSession) resolve() Outcome {
+	d := s.e.declared.Load()
+	if d == s.resolved {
+		return Outcome{}
 	}
-	return ok
+	db, ok := d.Databases[s.database]
+	if !ok {
+		return Outcome{Code: UnknownDatabase, Reason: s.database}
+	}
+	account, ok := d.accountFor(db, s.key)
+	if !ok {
+		s.e.emit(Event{Group: db.Group, Decision: "unknown_key", Code: UnknownAccount, Reason: "database " + s.database})
+		return Outcome{Code: UnknownAccount, Reason: "the key belongs to no account"}
+	}
+	s.db, s.account, s.resolved = db, account, d
+	return Outcome{}
 }
 
 func (s *CallerSession) begin(st Statement) Outcome {
 	if s.tx != nil {
 		return Outcome{Code: Malformed, Reason: "a transaction is open already"}
 	}
-	if !s.reloadDatabase() {
-		return Outcome{Code: UnknownDatabase, Reason: s.database}
+	if o := s.resolve(); o.Code != Done {
+		return o
 	}
 	s.tx = &transaction{readOnly: st.ReadOnly, db: s.db}
 	s.state = InTransaction
--- a/internal/engine/session_test.go
+++ b/internal/engine/session_test.go
@@ -10,7 +10,7 @@
 // and prepared statements.
 func TestSessionStateIsBounded(t *testing.T) {
 	e := newPinnedEngine(&pinnedEndpoint{})
-	s, _ := e.Open("db")
+	s, _ := e.Open("db", "")
 	set := func(name, value string) Code { return s.Run(Statement{Kind: Set, Name: name, Value: value}).Code }
 	prepare := func(name, text string) Code {
 		return s.Run(Statement{Kind: Prepare, Name: name, Body: PreparedBody{Text: text}}).Code
--- a/internal/engine/sparse_test.go
+++ b/internal/engine/sparse_test.go
@@ -26,7 +26,7 @@
 	p.lender = newHolderEngine(&p.now)
 	lead := replicaset.Status{Role: replicaset.Primary, Term: 1, Received: session.Point{Term: 1, Position: 7}}
 	follows := replicaset.Status{Role: replicaset.Replica, Term: 1, Received: session.Point{Term: 1, Position: 7}}
-	p.lender.Dial = func(_ context.Context, m replicaset.Member) (*Conn, error) {
+	p.lender.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
 		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...Op) ([]Outcome, error) {
 			if ops[0].Kind == OpStatus {
 				p.statusCalls.Add(1)
@@ -43,8 +43,10 @@
 		}}, nil
 	}
 	p.borrower = newHolderEngine(&p.now)
-	p.borrower.Lenders = func(replicaset.Member, int) ([]string, int) { return []string{"h1", "h2"}, 2 }
-	p.borrower.Dial = func(context.Context, replicaset.Member) (*Conn, error) { return nil, errors.New("unreachable") }
+	p.borrower.Lenders = func(replicaset.Member, int, session.Account) ([]string, int) { return []string{"h1", "h2"}, 2 }
+	p.borrower.Dial = func(context.Context, replicaset.Member, session.Account) (*Conn, error) {
+		return nil, errors.New("unreachable")
+	}
 	p.borrower.EndLoan = func(string, uint64) {}
 	p.borrower.Borrow = func(_ string, m replicaset.Member, _ uint64, call Call) (RemoteResult, error) {
 		if call.Ops[0].Kind != OpRollback {
@@ -79,7 +81,7 @@
 		g.RecordProof(g.Lead(), p.now)
 		g.Sample("old", p.now.Add(-400*time.Millisecond), session.Point{Term: 1, Position: 6})
 		for _, database := range []string{"bounded", "session"} {
-			s, _ := p.borrower.Open(database)
+			s, _ := p.borrower.Open(database, "")
 			if o := s.Run(Statement{ID: "1", Kind: Read, Text: "READ 7"}); o.Code != Done {
 				t.Fatalf("a %s read ends with %s: %s", database, o.Code, o.Reason)
 			}
@@ -87,7 +89,7 @@
 				t.Errorf("a %s read required position %d of the endpoint, want 6", database, got)
 			}
 		}
-		s, _ := p.borrower.Open("bounded")
+		s, _ := p.borrower.Open("bounded", "")
 		s.Run(Statement{Kind: Begin, ReadOnly: true})
 		if o := s.Run(Statement{ID: "2", Kind: Read, Text: "READ 7"}); o.Code != Done {
 			t.Fatalf("a read transaction ends with %s: %s", o.Code, o.Reason)
@@ -107,7 +109,7 @@
 	g := p.lender.Group("g")
 	g.RecordProof(g.Lead(), p.now)
 	g.Sample("old", p.now, session.Point{Term: 1, Position: 5})
-	s, _ := p.borrower.Open("session")
+	s, _ := p.borrower.Open("session", "")
 	s.notePosition("g", session.Point{Term: 1, Position: 6})
 	if o := s.Run(Statement{ID: "1", Kind: Read, Text: "READ 7"}); o.Code != Done || p.minPosition.Load() != 6 {
 		t.Errorf("a read after the session's write at 6 required %d and ends with %s", p.minPosition.Load(), o.Code)
@@ -132,7 +134,7 @@
 		}
 		return borrow(address, m, handle, call)
 	}
-	s, _ := p.borrower.Open("bounded")
+	s, _ := p.borrower.Open("bounded", "")
 	if o := s.Run(Statement{ID: "1", Kind: Read, Text: "READ 7"}); o.Code != Done || p.minPosition.Load() != 7 {
 		t.Errorf("a read required %d and ends with %s: %s", p.minPosition.Load(), o.Code, o.Reason)
 	}
@@ -159,14 +161,14 @@
 		t.Run(tt.name, func(t *testing.T) {
 			p := newLendingPair()
 			e := p.lender
-			e.Lenders = func(m replicaset.Member, _ int) ([]string, int) {
+			e.Lenders = func(m replicaset.Member, _ int, _ session.Account) ([]string, int) {
 				if m.ID == "old" {
 					return []string{"h1", "h2"}, 2
 				}
 				return []string{""}, 1
 			}
 			e.Borrow = func(_ string, m replicaset.Member, _ uint64, call Call) (RemoteResult, error) {
-				c, _ := e.Dial(context.Background(), m)
+				c, _ := e.Dial(context.Background(), m, noAccount)
 				out, err := c.Do(call.Deadline, call.Ops...)
 				return RemoteResult{Outcomes: out}, err
 			}
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -68,11 +68,14 @@
 	Malformed
 	TooBig
 	Unreachable
+	// UnknownAccount means that the caller's key belongs to no account.
+	UnknownAccount
 )
 
 var codeNames = [...]string{
 	"done", "busy", "behind", "read_only", "wrong_endpoint", "too_many_connections", "aborted", "failed",
 	"no_statement", "timed_out", "in_doubt", "unknown_database", "malformed", "too_big", "unreachable",
+	"unknown_account",
 }
 
 // String returns the name of the code.
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -31,6 +31,10 @@
 	tried := make(map[replicaset.EndpointID]bool)
 	began := s.e.BootTime()
 	busy, findPosition, tries := false, false, 0
+	if err := s.admitOperation(deadline); err != nil {
+		s.state, s.tx = FailedTransaction, nil
+		return s.giveUp(q, refusalOutcome(err))
+	}
 	for s.e.Now().Add(minAttempt).Before(deadline) {
 		a, lead, ok := s.chooseMember(g, tried, began, deadline, findPosition)
 		if !ok {
@@ -122,9 +126,11 @@
 	if err != nil {
 		s.e.noteFailure(a.g, p, err)
 		p.release(c)
+		s.noteSent(Sent(err))
 		return refusalOutcome(err), false, err
 	}
 	o := out[len(out)-1]
+	s.noteSent(len(out) == len(ops) && !o.Code.notRun())
 	if len(out) < len(ops) || o.Code.notRun() || o.Code == Failed {
 		s.releaseUnstarted(p, c, o)
 		return o, false, nil
--- a/internal/failover/fake_test.go
+++ b/internal/failover/fake_test.go
@@ -195,7 +195,7 @@
 	e := &engine.Engine{Zone: "z", Now: time.Now, BootTime: boot, Event: func(v engine.Event) {
 		t.Logf("%s %s %s", v.Decision, v.Endpoint, v.Reason)
 	}}
-	e.Dial = func(_ context.Context, m replicaset.Member) (*engine.Conn, error) {
+	e.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*engine.Conn, error) {
 		if f.full[m.ID] {
 			return nil, &engine.DialError{Code: engine.TooManyConnections}
 		}
--- a/internal/failover/pause_test.go
+++ b/internal/failover/pause_test.go
@@ -32,8 +32,8 @@
 func (f *fakeCluster) watch(m *Manager, before func(o order, n int)) *orders {
 	all := &orders{}
 	dial := m.Engine.Dial
-	m.Engine.Dial = func(ctx context.Context, member replicaset.Member) (*engine.Conn, error) {
-		c, err := dial(ctx, member)
+	m.Engine.Dial = func(ctx context.Context, member replicaset.Member, a session.Account) (*engine.Conn, error) {
+		c, err := dial(ctx, member, a)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/grants/lease.go
@@ -0,0 +1,292 @@
+package grants
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/pause"
+	"github.com/cumintrestle/cumintrestle/internal/ratelimit"
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
+)
+
+const (
+	// LeaseTime is how long a host may grant without renewing its lease. It exceeds the longest
+	// outage of the store that hosts have to bridge, which is 9 s, by one renewal.
+	LeaseTime = 15 * time.Second
+	// renewInterval is the time between two renewals.
+	renewInterval = 4 * time.Second
+	// leaseMargin is added to the end of another host's lease for the difference of the clocks.
+	leaseMargin = time.Second
+	// eraTime is how long no host takes the lease after it first saw an era of the store: the
+	// store may have lost a lease that is still in use.
+	eraTime = LeaseTime + leaseMargin
+	// leaseCheckInterval is the time between two checks of the lease's state.
+	leaseCheckInterval = 200 * time.Millisecond
+	// rankDelay is the delay between hosts of consecutive ranks when a lease has to be taken over.
+	rankDelay = 400 * time.Millisecond
+	// maxRankDelay bounds that delay. Hosts of the last ranks only matter if all others are gone.
+	maxRankDelay = 8 * time.Second
+	// candidates is the number of hosts that watch the lease although they have no demand. Others
+	// do so only after their requests have failed for starvedAfter.
+	candidates   = 4
+	starvedAfter = 3 * time.Second
+	// readInterval is the pause after the lease was found to be held by another host, or could not
+	// be read.
+	readInterval = 2 * time.Second
+	// epochsPerEra is the number of epochs in an era of the store. An epoch that the store lost is
+	// not given out again in a later era.
+	epochsPerEra = 1 << 32
+)
+
+var (
+	errNotHolder = errors.New("this host does not hold the lease of the limits")
+	// ErrConflict reports that the lease has changed since it was read.
+	ErrConflict = errors.New("the lease of the limits has changed")
+)
+
+// Lease is the lease of the host that grants the limits of accounts, as recorded in the store.
+type Lease struct {
+	// Holder is the host's name. It keeps its name when the lease is released.
+	Holder   string
+	Epoch    ratelimit.Epoch
+	Released bool
+	// Until is the end of the lease on the store's clock. Fallback rates that were given under the
+	// lease may be in use until then, also after its release.
+	Until time.Duration
+	// Era is the era of the store in which the lease was written.
+	Era revision.Era
+	// ReadEra is the era in which it was read, Version its version, 0 if there is none, and Now the
+	// store's clock at that time.
+	ReadEra revision.Era
+	Version revision.Version
+	Now     time.Duration
+	// SentAt is when the call was sent that read or wrote the lease.
+	SentAt replicaset.Instant
+}
+
+// leaseState is what this host knows of its own lease, and when it acts next.
+type leaseState struct {
+	held Lease
+	// until is the end of the lease that this host holds, 0 if it holds none.
+	until replicaset.Instant
+	// renewAt is when the lease is renewed, and nextTry when this host may try to take it.
+	renewAt, nextTry replicaset.Instant
+	// era is the store's era, eraSeen when this host first saw it. firstEra is the first one
+	// that this process saw.
+	era, firstEra revision.Era
+	eraSeen       replicaset.Instant
+	// attempt is the recovery of the last attempt to take the lease.
+	attempt ratelimit.Recovery
+	// stopping is set when this host gives up granting for good.
+	stopping bool
+}
+
+// grantsUntil returns the end of the lease, false if this host does not hold it.
+func (l *leaseState) grantsUntil(now replicaset.Instant) (replicaset.Instant, bool) {
+	return l.until, !l.stopping && now < l.until
+}
+
+// runLease takes, renews and checks the lease until the context ends.
+func (s *Service) runLease(ctx context.Context) {
+	for pause.For(ctx, leaseCheckInterval) {
+		s.mu.Lock()
+		now := s.BootTime()
+		held, stopping := now < s.lease.until, s.lease.stopping
+		renew := held && now >= s.lease.renewAt
+		take := !held && now >= s.lease.nextTry && s.wantsLease(now)
+		s.mu.Unlock()
+		switch {
+		case stopping:
+			return
+		case renew:
+			s.renew(ctx)
+		case take:
+			s.take(ctx)
+		}
+	}
+}
+
+// wantsLease reports whether this host should try to take the lease: no holder is known, this host
+// is the holder, or the holder's lease has ended. Hosts of later ranks wait longer.
+func (s *Service) wantsLease(now replicaset.Instant) bool {
+	if len(s.limits) == 0 {
+		return false
+	}
+	rank, ok := s.Rank()
+	if s.holder == s.Host {
+		return true
+	}
+	if !ok || rank >= candidates && (s.failingSince == 0 || now.Sub(s.failingSince) < starvedAfter) {
+		return false
+	}
+	if s.lease.nextTry == 0 && (s.holder == "" || s.heldUntil == 0) {
+		// The host has just started: the holder may answer, or others may take the lease first.
+		s.lease.nextTry = now.Add(readInterval + rankDelays(rank))
+		if s.holder == "" && s.Bootstrap {
+			s.lease.nextTry = now.Add(rankDelays(rank))
+		}
+		return false
+	}
+	return s.holder == "" || now >= s.heldUntil.Add(leaseMargin+rankDelays(rank))
+}
+
+func rankDelays(rank int) time.Duration { return min(time.Duration(rank)*rankDelay, maxRankDelay) }
+
+// take tries to take the lease.
+func (s *Service) take(ctx context.Context) {
+	old, err := s.ReadLease(ctx)
+	now := s.BootTime()
+	if err != nil {
+		s.retryLease(now.Add(readInterval), err)
+		return
+	}
+	s.mu.Lock()
+	wait := s.lease.untilFree(old, s.Host, s.Bootstrap, now)
+	if old.Holder != "" && !old.Released {
+		s.heldUntil = max(s.heldUntil, old.SentAt.Add(old.Until-old.Now))
+	}
+	s.mu.Unlock()
+	if wait > 0 {
+		s.retryLease(now.Add(min(wait, readInterval)), nil)
+		return
+	}
+	next := Lease{Holder: s.Host, Epoch: nextEpoch(old), Until: old.Now + LeaseTime, Era: old.ReadEra}
+	s.mu.Lock()
+	recovery := s.lease.recoveryFrom(old, next)
+	s.lease.attempt = recovery
+	s.mu.Unlock()
+	written, err := s.WriteLease(ctx, old, next, true)
+	if err != nil {
+		s.retryLease(s.BootTime().Add(readInterval), err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease.hold(written, old.SentAt)
+	s.granter.Start(s.now(), recovery)
+	s.granter.SetLimits(s.now(), s.limits)
+	s.holder = s.Host
+	s.requestSoon()
+	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", next.Epoch, old.Holder))
+}
+
+// recoveryFrom returns how this host takes over from a lease. Fallback rates that were given under
+// that lease may be in use until its end, unless it is one that this process wrote, without an
+// answer, and never granted under.
+func (l *leaseState) recoveryFrom(old, next Lease) ratelimit.Recovery {
+	r := ratelimit.Recovery{Epoch: next.Epoch}
+	switch left := old.Until - old.Now; {
+	case old.Version != 0 && old.Epoch == l.attempt.Epoch && l.held.Epoch != old.Epoch:
+		r.ReducedUntil = l.attempt.ReducedUntil
+	case left > 0:
+		r.ReducedUntil = time.Duration(old.SentAt.Add(left))
+	}
+	return r
+}
+
+// hold notes a lease that was written on the basis of what the store showed at shownAt.
+func (l *leaseState) hold(written Lease, shownAt replicaset.Instant) {
+	l.held = written
+	l.until = shownAt.Add(LeaseTime)
+	l.renewAt = shownAt.Add(renewInterval)
+}
+
+// untilFree returns how long this host has to wait before it may take a lease, 0 if it may now.
+func (l *leaseState) untilFree(old Lease, host string, bootstrap bool, now replicaset.Instant) time.Duration {
+	if l.eraSeen == 0 {
+		l.firstEra = old.ReadEra
+	}
+	if old.ReadEra != l.era || l.eraSeen == 0 {
+		l.era, l.eraSeen = old.ReadEra, now
+	}
+	first := bootstrap && old.ReadEra == l.firstEra
+	lost := old.Version == 0 && !first || old.Version != 0 && old.Era != old.ReadEra
+	if left := l.eraSeen.Add(eraTime).Sub(now); lost && left > 0 {
+		return left
+	}
+	if old.Version == 0 || old.Released || old.Holder == host {
+		return 0
+	}
+	return max(old.Until+leaseMargin-old.Now, 0)
+}
+
+// nextEpoch returns an epoch above that of a lease and above all those of earlier eras.
+func nextEpoch(old Lease) ratelimit.Epoch {
+	return max(old.Epoch+1, ratelimit.Epoch(old.ReadEra)*epochsPerEra)
+}
+
+// retryLease sets the time of the next attempt.
+func (s *Service) retryLease(at replicaset.Instant, err error) {
+	if err != nil && !errors.Is(err, ErrConflict) {
+		s.emit("limits_lease_failed", s.Host, err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease.nextTry = at
+}
+
+// renew extends the lease that this host holds. If the lease turns out to be lost, it ends at
+// once.
+func (s *Service) renew(ctx context.Context) {
+	s.mu.Lock()
+	old := s.lease.held
+	s.mu.Unlock()
+	sentAt := s.BootTime()
+	next := old
+	next.Until, next.Era = old.Now+sentAt.Sub(old.SentAt)+LeaseTime, old.ReadEra
+	written, err := s.WriteLease(ctx, old, next, false)
+	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lease.hold(written, sentAt)
+		return
+	}
+	s.emit("limits_lease_not_renewed", s.Host, err.Error())
+	var shown Lease
+	if errors.Is(err, ErrConflict) {
+		shown, err = s.ReadLease(ctx)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lease.renewAt = s.BootTime().Add(renewInterval / 4)
+	switch {
+	case err != nil:
+	case s.lease.survives(shown):
+		s.lease.held.Version, s.lease.held.ReadEra = shown.Version, shown.ReadEra
+		s.lease.held.Now, s.lease.held.SentAt = shown.Now, shown.SentAt
+		s.lease.renewAt = 0
+	default:
+		s.lease.until = 0
+	}
+}
+
+// survives reports whether the lease that this host holds is in force although the store shows
+// another version: the answer to a renewal was lost, or the store has come back from a copy with an
+// earlier lease, which no other host may take over yet.
+func (l *leaseState) survives(shown Lease) bool {
+	copied := shown.ReadEra > l.held.ReadEra && (shown.Version == 0 || shown.Era < shown.ReadEra) && shown.Epoch <= l.held.Epoch
+	return copied || shown.Holder == l.held.Holder && shown.Epoch == l.held.Epoch && !shown.Released
+}
+
+// Stop ends granting on this host and releases the lease, so that another host can take it.
+func (s *Service) Stop(ctx context.Context) {
+	s.init()
+	s.mu.Lock()
+	held := s.BootTime() < s.lease.until
+	s.lease.stopping = true
+	old := s.lease.held
+	s.mu.Unlock()
+	if !held {
+		return
+	}
+	next := old
+	next.Released = true
+	if _, err := s.WriteLease(ctx, old, next, true); err != nil {
+		s.emit("limits_lease_kept", s.Host, err.Error())
+		return
+	}
+	s.emit("limits_released", s.Host, "")
+}
--- /dev/null
+++ b/internal/grants/lease_test.go
@@ -0,0 +1,244 @@
+package grants
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/ratelimit"
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/internal/revision"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
+)
+
+// leaseStore stands in for the row of the lease.
+type leaseStore struct {
+	now  replicaset.Instant
+	row  Lease
+	era  revision.Era
+	down bool
+	// loseAnswer makes the next write take effect without an answer.
+	loseAnswer bool
+	reads      int
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *leaseStore) read(context.Context) (Lease, error) {
+	if s.down {
+		return Lease{}, errDown
+	}
+	s.reads++
+	l := s.row
+	l.ReadEra, l.Now, l.SentAt = s.era, time.Duration(s.now), s.now
+	return l, nil
+}
+
+func (s *leaseStore) write(_ context.Context, old, next Lease, _ bool) (Lease, error) {
+	if s.down {
+		return Lease{}, errDown
+	}
+	if old.Version != s.row.Version {
+		return Lease{}, ErrConflict
+	}
+	next.Version = s.row.Version + 1
+	next.ReadEra, next.Now, next.SentAt = s.era, time.Duration(s.now), s.now
+	s.row = next
+	if s.loseAnswer {
+		s.loseAnswer = false
+		return Lease{}, errDown
+	}
+	return next, nil
+}
+
+func newService(s *leaseStore, host string, rank int) *Service {
+	g := &Service{
+		Host: host, Incarnation: 1, Bounds: ratelimit.DefaultBounds(), BootTime: func() replicaset.Instant { return s.now }, Bootstrap: true,
+		Rank: func() (int, bool) { return rank, true }, ReadLease: s.read, WriteLease: s.write,
+	}
+	g.SetLimits(map[session.Account]ratelimit.Limit{"mill": {Rate: 5, Burst: 5}})
+	return g
+}
+
+// tick does what the loop of the lease does, once.
+func (s *Service) tick() {
+	now := s.BootTime()
+	s.mu.Lock()
+	held := now < s.lease.until
+	renew := held && now >= s.lease.renewAt
+	take := !held && now >= s.lease.nextTry && s.wantsLease(now)
+	s.mu.Unlock()
+	switch {
+	case renew:
+		s.renew(context.Background())
+	case take:
+		s.take(context.Background())
+	}
+}
+
+func (s *Service) grants() bool {
+	_, ok := s.lease.grantsUntil(s.BootTime())
+	return ok
+}
+
+// run lets the hosts act until the time, and checks that no two of them grant at once.
+func (s *leaseStore) run(t *testing.T, until replicaset.Instant, hosts ...*Service) {
+	t.Helper()
+	for ; s.now < until; s.now += replicaset.Instant(leaseCheckInterval) {
+		granting := 0
+		for _, h := range hosts {
+			h.tick()
+			if h.grants() {
+				granting++
+			}
+		}
+		if granting > 1 {
+			t.Fatalf("%d hosts grant at %s", granting, time.Duration(s.now))
+		}
+	}
+}
+
+func at(d time.Duration) replicaset.Instant { return replicaset.Instant(d) }
+
+// TestLeaseIsTakenOver guards against two hosts that grant at once, and against none that does,
+// when the holder stops without a word.
+func TestLeaseIsTakenOver(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	a, b := newService(s, "a", 0), newService(s, "b", 1)
+	s.run(t, s.now+at(time.Second), a, b)
+	if !a.grants() || b.grants() {
+		t.Fatal("the first host in the order does not grant")
+	}
+	b.SetHolder("a")
+	b.heldUntil = s.now.Add(LeaseTime)
+	s.run(t, s.now+at(LeaseTime-time.Second), b)
+	if b.grants() {
+		t.Fatal("another host grants before the lease has ended")
+	}
+	s.run(t, s.now+at(6*time.Second), b)
+	if !b.grants() {
+		t.Error("no host has taken over a lease that has ended")
+	}
+	if b.lease.held.Epoch <= 1 {
+		t.Errorf("the epoch is %d after a takeover", b.lease.held.Epoch)
+	}
+}
+
+// TestLeaseAfterRestart guards against a restarted holder that waits for its own lease, or that
+// grants the full rate while hosts may use fallback rates that it gave before.
+func TestLeaseAfterRestart(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	a := newService(s, "a", 0)
+	s.run(t, s.now+at(time.Second), a)
+	again := newService(s, "a", 0)
+	again.Bootstrap = false
+	again.SetHolder("a")
+	s.run(t, s.now+at(time.Second), again)
+	if !again.grants() {
+		t.Fatal("the restarted holder does not grant")
+	}
+	if got := again.lease.attempt.ReducedUntil; got <= time.Duration(s.now) {
+		t.Error("the restarted holder grants the full rate at once")
+	}
+}
+
+// TestLostAnswerOfTheLease guards against a holder that gives up its lease, or reduces what it
+// grants, because the answer to a write was lost.
+func TestLostAnswerOfTheLease(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1, loseAnswer: true}
+	a := newService(s, "a", 0)
+	s.run(t, s.now+at(4*time.Second), a)
+	if !a.grants() || a.lease.attempt.ReducedUntil != 0 {
+		t.Fatalf("after a lost answer to the first write: grants %t, reduced until %s", a.grants(), a.lease.attempt.ReducedUntil)
+	}
+	epoch := a.lease.held.Epoch
+	s.loseAnswer = true
+	s.run(t, s.now+at(2*LeaseTime), a)
+	if !a.grants() || a.lease.held.Epoch != epoch {
+		t.Errorf("after a lost answer to a renewal: grants %t, epoch %d, want %d", a.grants(), a.lease.held.Epoch, epoch)
+	}
+}
+
+// TestLeaseWhileStoreIsDown guards against a holder that grants beyond its lease, and against one
+// that does not outlast an outage of 9 s.
+func TestLeaseWhileStoreIsDown(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	a, b := newService(s, "a", 0), newService(s, "b", 1)
+	s.run(t, s.now+at(4*time.Second), a, b)
+	b.SetHolder("a")
+	s.down = true
+	s.run(t, s.now+at(9*time.Second), a, b)
+	if !a.grants() {
+		t.Fatal("the holder does not outlast an outage of 9 s")
+	}
+	s.run(t, s.now+at(LeaseTime), a, b)
+	if a.grants() || b.grants() {
+		t.Fatal("a host grants although its lease has ended")
+	}
+	s.down = false
+	s.run(t, s.now+at(10*time.Second), a, b)
+	if !a.grants() && !b.grants() {
+		t.Error("no host grants after the store has come back")
+	}
+}
+
+// TestLeaseAfterRestore guards against a second holder after the store came back from a copy that
+// lacks the lease.
+func TestLeaseAfterRestore(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	a, b := newService(s, "a", 0), newService(s, "b", 1)
+	s.run(t, s.now+at(time.Second), a, b)
+	b.SetHolder("a")
+	s.era, s.row = 2, Lease{}
+	b.SetHolder("")
+	s.run(t, s.now+at(40*time.Second), a, b)
+	if !a.grants() {
+		t.Error("the holder has given up a lease that only the store has lost")
+	}
+	epoch := a.lease.held.Epoch
+
+	s.era, s.row = 3, Lease{}
+	s.run(t, s.now+at(LeaseTime+2*time.Second), b)
+	if b.grants() {
+		t.Error("another host grants while a lost lease may be in force")
+	}
+	s.run(t, s.now+at(10*time.Second), b)
+	if !b.grants() || b.lease.held.Epoch <= epoch {
+		t.Errorf("after the wait: grants %t, epoch %d, want more than %d", b.grants(), b.lease.held.Epoch, epoch)
+	}
+}
+
+// TestReleasedLease guards against a gap when a host stops as planned.
+func TestReleasedLease(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	a, b := newService(s, "a", 0), newService(s, "b", 1)
+	s.run(t, s.now+at(time.Second), a, b)
+	b.SetHolder("a")
+	a.Stop(context.Background())
+	if a.grants() {
+		t.Fatal("a stopped host grants")
+	}
+	b.SetHolder("")
+	s.run(t, s.now+at(4*time.Second), b)
+	if !b.grants() || b.lease.attempt.ReducedUntil <= time.Duration(s.now) {
+		t.Errorf("after a release: grants %t, reduced until %s", b.grants(), b.lease.attempt.ReducedUntil)
+	}
+}
+
+// TestFewHostsReadTheLease guards against a whole fleet that polls the store for the lease.
+func TestFewHostsReadTheLease(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	hosts := []*Service{newService(s, "a", 0)}
+	s.run(t, s.now+at(time.Second), hosts...)
+	for i := 1; i < 60; i++ {
+		h := newService(s, "other", i)
+		h.SetHolder("a")
+		hosts = append(hosts, h)
+	}
+	s.reads = 0
+	s.run(t, s.now+at(time.Minute), hosts...)
+	if s.reads > 30 {
+		t.Errorf("%d reads of the lease in a minute by 60 hosts, want 30 at most", s.reads)
+	}
+}
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -37,6 +37,8 @@
 	errLinkBroken = errors.New("link to the lending host is broken")
 	errTimeout    = errors.New("timeout waiting for the lending host")
 	errNotLending = errors.New("the lending host is not lending connections")
+	// errNotGranting reports that the host that was asked for tokens does not grant any.
+	errNotGranting = errors.New("the host does not grant tokens")
 	// errLoanLost reports that a transaction has ended with its link: the lender rolls it
 	// back.
 	errLoanLost = errors.New("the link that the transaction was opened over has broken")
@@ -45,6 +47,10 @@
 // Borrower opens links to lenders and runs calls over the connections they lend.
 type Borrower struct {
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// Accounts is true for links between hosts that use accounts.
+	Accounts bool
+	// BootTime is the clock of engine.Call.SendBy. It must be set where accounts are used.
+	BootTime func() replicaset.Instant
 	// OnDown is called when a link could not be opened or has ended, and when a lender
 	// answers that it is not lending.
 	OnDown func(address string)
@@ -90,7 +96,11 @@
 	if err != nil {
 		return engine.RemoteResult{}, engine.NotSent(err)
 	}
-	a, err := l.call(c.Deadline, wireRequest(m.Group, m.ID, handle, c))
+	q := wireRequest(m.Group, m.ID, handle, c)
+	if c.SendBy != 0 {
+		q.SendByMS = max(millis(c.SendBy.Sub(b.BootTime())), 1)
+	}
+	a, err := l.call(c.Deadline, q)
 	l.setLoan(handle, a.Handle)
 	if err != nil {
 		return engine.RemoteResult{}, err
@@ -144,6 +154,8 @@
 		return engine.NotSent(engine.ErrNoPosition)
 	case failNoConnection:
 		return engine.NotSent(engine.ErrNoConnection)
+	case failSendByPassed:
+		return engine.NotSent(engine.ErrSendByPassed)
 	case failNotSent:
 		return engine.NotSent(errLinkBroken)
 	}
@@ -244,7 +256,7 @@
 func (l *link) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), linkSetupTimeout)
 	defer cancel()
-	ws, resp, err := websocket.Dial(ctx, "ws://"+l.address+"/lend", &websocket.DialOptions{
+	ws, resp, err := websocket.Dial(ctx, "ws://"+l.address+LinkPath(l.b.Accounts), &websocket.DialOptions{
 		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.b.DialContext}},
 	})
 	if resp != nil && resp.Body != nil {
@@ -293,7 +305,7 @@
 		if err != nil {
 			return
 		}
-		a, err := decodeResponse(body)
+		a, err := l.b.decode(body)
 		if err != nil {
 			l.b.reportMalformed(err)
 			return
@@ -414,7 +426,7 @@
 
 // send writes a request to the link and closes the link if that fails.
 func (l *link) send(q request) error {
-	body, err := encode(q)
+	body, err := encodeRequest(q, l.b.Accounts)
 	if err == nil {
 		err = l.ws.Write(l.ctx, websocket.MessageBinary, body)
 	}
--- a/internal/lending/handle_test.go
+++ b/internal/lending/handle_test.go
@@ -27,7 +27,7 @@
 	open      int
 }
 
-func (p *transactionEndpoint) dial(context.Context, replicaset.Member) (*engine.Conn, error) {
+func (p *transactionEndpoint) dial(context.Context, replicaset.Member, session.Account) (*engine.Conn, error) {
 	var statements []string
 	begun := false
 	end := func(commit bool) {
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/guard"
+	"github.com/cumintrestle/cumintrestle/internal/ratelimit"
 )
 
 // maxMessage is the maximum size of a message between hosts, in bytes. A statement
@@ -24,6 +26,10 @@
 // path at which borrowers open their WebSocket links.
 type Lender struct {
 	Engine *engine.Engine
+	// Accounts is true for links between hosts that use accounts.
+	Accounts bool
+	// Grant answers a request for tokens, false if this host does not grant. It may be nil.
+	Grant func(ratelimit.Request) (ratelimit.Response, bool)
 	// Unavailable reports whether this host refuses new loans, because it is shutting down,
 	// or because it has just started and does not know the endpoints yet.
 	Unavailable func() bool
@@ -87,7 +93,7 @@
 		if err != nil {
 			return
 		}
-		q, err := decodeRequest(body)
+		q, err := l.decode(body)
 		if err != nil {
 			l.Engine.ReportMalformed("borrower", err)
 			return
@@ -147,7 +153,7 @@
 	defer b.lender.calls.Add(-1)
 	a := b.run(q)
 	a.Seq = q.Seq
-	body, err := encode(a)
+	body, err := encodeResponse(a, b.lender.Accounts)
 	if err == nil {
 		err = b.ws.Write(b.ctx, websocket.MessageBinary, body)
 	}
@@ -159,7 +165,13 @@
 // run runs a request and returns the response. The connection stays lent after the
 // call only if a transaction is open on it.
 func (b *borrowerLink) run(q request) response {
+	if q.Verb == verbRequestTokens {
+		return b.lender.grant(q)
+	}
 	call := q.call()
+	if q.SendByMS > 0 {
+		call.SendBy = b.lender.Engine.BootTime().Add(time.Duration(q.SendByMS) * time.Millisecond)
+	}
 	if q.Verb == verbQueryGroup {
 		return response{Knowledge: wireKnowledge(b.lender.Engine.Knowledge(q.Group, call.QueueDeadline))}
 	}
@@ -237,6 +249,8 @@
 		return response{Failure: failNoPosition}
 	case errors.Is(err, engine.ErrOverloaded):
 		return response{Failure: failOverloaded}
+	case errors.Is(err, engine.ErrSendByPassed):
+		return response{Failure: failSendByPassed}
 	case errors.Is(err, engine.ErrNoConnection):
 		return response{Failure: failNoConnection}
 	case errors.Is(err, engine.ErrFull):
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -37,11 +37,11 @@
 	large := 0
 	for i := range 300 {
 		m := replicaset.Member{ID: replicaset.EndpointID(strings.Repeat("x", i)), Zone: "a"}
-		local, holders := testRing("h1").Lenders(m, 3)
+		local, holders := testRing("h1").Lenders(m, 3, "")
 		if len(local) != 3 || holders != 2 {
 			t.Fatalf("Lenders returned %v with %d holders, want the 3 hosts of the endpoint's zone and 2 holders", local, holders)
 		}
-		remote, _ := testRing("h4").Lenders(m, 3)
+		remote, _ := testRing("h4").Lenders(m, 3, "")
 		holds := local[0] == "" || local[1] == ""
 		if ranked := remote[0] == "1" || remote[1] == "1"; ranked != holds {
 			t.Fatalf("h1 computes %v, h4 computes %v: they disagree on the holders", local, remote)
@@ -57,15 +57,15 @@
 		t.Errorf("the large host holds connections to %d of 300 endpoints, want at least 250", large)
 	}
 	m := replicaset.Member{ID: "x", Zone: "a"}
-	if _, holders := testRing("h1").Lenders(m, 0); holders != 0 {
+	if _, holders := testRing("h1").Lenders(m, 0, ""); holders != 0 {
 		t.Error("an endpoint without a connection limit has holders")
 	}
 	r := testRing("h2")
 	r.MarkDown("1")
-	if lenders, _ := r.Lenders(m, 3); len(lenders) != 2 {
+	if lenders, _ := r.Lenders(m, 3, ""); len(lenders) != 2 {
 		t.Errorf("a host marked down is listed: %v", lenders)
 	}
-	if lenders, _ := r.Lenders(replicaset.Member{ID: "x", Zone: "nowhere"}, 3); len(lenders) != 3 {
+	if lenders, _ := r.Lenders(replicaset.Member{ID: "x", Zone: "nowhere"}, 3, ""); len(lenders) != 3 {
 		t.Errorf("lenders for an endpoint in a zone without hosts: %v, want the 3 hosts that are up", lenders)
 	}
 }
@@ -104,18 +104,18 @@
 		r.MarkDown("1")
 		r.MarkDown("1")
 		now = now.Add(want - time.Millisecond)
-		if lenders, _ := r.Lenders(m, 2); len(lenders) != 2 {
+		if lenders, _ := r.Lenders(m, 2, ""); len(lenders) != 2 {
 			t.Fatalf("a host is listed within %s after it was marked down: %v", want, lenders)
 		}
 		now = now.Add(time.Millisecond)
-		if lenders, _ := r.Lenders(m, 2); len(lenders) != 3 {
+		if lenders, _ := r.Lenders(m, 2, ""); len(lenders) != 3 {
 			t.Fatalf("a host is not listed %s after it was marked down: %v", want, lenders)
 		}
 	}
 	r.MarkUp("1")
 	r.MarkDown("1")
 	now = now.Add(minDownTime)
-	if lenders, _ := r.Lenders(m, 2); len(lenders) != 3 {
+	if lenders, _ := r.Lenders(m, 2, ""); len(lenders) != 3 {
 		t.Error("the backoff of a host is not reset after it answered")
 	}
 }
@@ -142,7 +142,7 @@
 			peers = append(peers, Peer{Name: fmt.Sprintf("h%d", i+1), Zone: "a", Address: fmt.Sprint(i + 1), Weight: 1})
 		}
 		r.Set(peers)
-		if _, got := r.Lenders(replicaset.Member{ID: "x", Zone: "a"}, tt.connections); got != tt.want {
+		if _, got := r.Lenders(replicaset.Member{ID: "x", Zone: "a"}, tt.connections, ""); got != tt.want {
 			t.Errorf("%d connections, %d hosts: %d holders, want %d", tt.connections, tt.hosts, got, tt.want)
 		}
 	}
@@ -165,7 +165,7 @@
 func newPair(t *testing.T) *lendingPair {
 	p := &lendingPair{member: replicaset.Member{ID: "m", Group: "g", Address: "m", Role: replicaset.Primary}, hang: make(chan struct{})}
 	e := &engine.Engine{Now: time.Now, BootTime: func() replicaset.Instant { return 1 }, Event: func(engine.Event) {}}
-	e.Dial = func(context.Context, replicaset.Member) (*engine.Conn, error) {
+	e.Dial = func(context.Context, replicaset.Member, session.Account) (*engine.Conn, error) {
 		p.dials.Add(1)
 		return &engine.Conn{
 			Close: func() { p.closed.Add(1) },
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -18,6 +18,8 @@
 const (
 	// maxOps is the maximum number of operations in a request.
 	maxOps = 64
+	// maxAccountName is the maximum length of the name of an account, in bytes.
+	maxAccountName = 200
 	// maxMS bounds all other times in a message, in ms.
 	maxMS = 1e12
 )
@@ -34,6 +36,9 @@
 	verbRelease
 	// verbQueryGroup requests the lender's knowledge of a group.
 	verbQueryGroup
+	// verbRequestTokens requests tokens for the operations of accounts. It is used only
+	// between hosts that use accounts.
+	verbRequestTokens
 )
 
 // failure is the reason why a lender did not complete a request. Its values are part
@@ -65,6 +70,9 @@
 	failEndpointUnreachable
 	// failNoConnection means that no connection became free in time.
 	failNoConnection
+	// failSendByPassed means that the time to send the call had passed before its turn
+	// came.
+	failSendByPassed
 )
 
 // request is a message from a borrower to a lender.
@@ -92,6 +100,12 @@
 	Body      *preparedBody
 	Ops       []op
 	Freshness *freshness
+	// Account, SendByMS and Limits are sent only over links of hosts that use accounts, as
+	// part of accountRequest. SendByMS is the time left to send the call's first
+	// operation, 0 for no limit.
+	Account  session.Account `cbor:"-"`
+	SendByMS int64           `cbor:"-"`
+	Limits   *limitsRequest  `cbor:"-"`
 }
 
 // freshness is the staleness bound of a read for which the lender chooses the log
@@ -113,6 +127,9 @@
 	Handle    uint64
 	Outcomes  []outcome
 	Knowledge *knowledge
+	// Limits is sent only over links of hosts that use accounts, as part of
+	// accountResponse.
+	Limits *limitsResponse `cbor:"-"`
 }
 
 // knowledge is the encoded form of replicaset.Knowledge. Ages are in ms; -1 means
@@ -202,34 +219,39 @@
 
 var errMalformed = errors.New("malformed message")
 
-// decodeRequest decodes and validates a request. It rejects times above maxCallTime,
-// which could overflow when added to the current time, and a call that has a staleness
-// bound but no operation to apply it to.
+// decodeRequest decodes and validates a request.
 func decodeRequest(body []byte) (request, error) {
 	var q request
 	if err := cbor.Unmarshal(body, &q); err != nil {
 		return q, fmt.Errorf("%w: %w", errMalformed, err)
 	}
-	if q.Verb > verbQueryGroup || q.Verb == verbRun && q.Freshness != nil && len(q.Ops) == 0 {
-		return q, fmt.Errorf("%w: verb %d with %d operations", errMalformed, q.Verb, len(q.Ops))
+	return q, q.check()
+}
+
+// check validates a request. It rejects times above maxCallTime, which could overflow when
+// added to the current time, and a call that has a staleness bound but no operation to apply
+// it to.
+func (q request) check() error {
+	if q.Verb > verbRequestTokens || q.Verb == verbRun && q.Freshness != nil && len(q.Ops) == 0 {
+		return fmt.Errorf("%w: verb %d with %d operations", errMalformed, q.Verb, len(q.Ops))
 	}
 	for _, ms := range []int64{q.MaxWaitMS, q.TimeoutMS} {
 		if ms < -maxCallTime.Milliseconds() || ms > maxCallTime.Milliseconds() {
-			return q, fmt.Errorf("%w: call time of %d ms", errMalformed, ms)
+			return fmt.Errorf("%w: call time of %d ms", errMalformed, ms)
 		}
 	}
 	if f := q.Freshness; f != nil && (f.MaxAgeMS < -maxMS || f.MaxAgeMS > maxMS) {
-		return q, fmt.Errorf("%w: maximum age of %d ms", errMalformed, f.MaxAgeMS)
+		return fmt.Errorf("%w: maximum age of %d ms", errMalformed, f.MaxAgeMS)
 	}
 	if len(q.Ops) > maxOps {
-		return q, fmt.Errorf("%w: %d operations", errMalformed, len(q.Ops))
+		return fmt.Errorf("%w: %d operations", errMalformed, len(q.Ops))
 	}
 	for _, o := range q.Ops {
 		if o.Kind > engine.OpDemote {
-			return q, fmt.Errorf("%w: unknown operation kind %d", errMalformed, o.Kind)
+			return fmt.Errorf("%w: unknown operation kind %d", errMalformed, o.Kind)
 		}
 	}
-	return q, nil
+	return nil
 }
 
 // decodeResponse decodes and validates a response.
@@ -238,18 +260,23 @@
 	if err := cbor.Unmarshal(body, &a); err != nil {
 		return a, fmt.Errorf("%w: %w", errMalformed, err)
 	}
+	return a, a.check()
+}
+
+// check validates a response.
+func (a response) check() error {
 	if !a.Code.Valid() {
-		return a, fmt.Errorf("%w: code %d", errMalformed, a.Code)
+		return fmt.Errorf("%w: code %d", errMalformed, a.Code)
 	}
 	if k := a.Knowledge; k != nil && (k.SampleAge > maxMS || k.ProofAge > maxMS) {
-		return a, fmt.Errorf("%w: ages of %d and %d ms", errMalformed, k.SampleAge, k.ProofAge)
+		return fmt.Errorf("%w: ages of %d and %d ms", errMalformed, k.SampleAge, k.ProofAge)
 	}
 	for _, o := range a.Outcomes {
 		if !o.Code.Valid() || !o.State.Valid() || o.Report != nil && (!o.Report.Role.Valid() || o.Report.LagMS < 0 || o.Report.LagMS > maxMS) {
-			return a, fmt.Errorf("%w: outcome with code %d and state %d", errMalformed, o.Code, o.State)
+			return fmt.Errorf("%w: outcome with code %d and state %d", errMalformed, o.Code, o.State)
 		}
 	}
-	return a, nil
+	return nil
 }
 
 func wireOps(ops []engine.Op) []op {
@@ -269,7 +296,7 @@
 func wireRequest(g session.Group, id replicaset.EndpointID, handle uint64, c engine.Call) request {
 	q := request{
 		Verb: verbRun, Handle: handle, Class: c.Class, MaxWaitMS: millis(time.Until(c.QueueDeadline)),
-		TimeoutMS: max(millis(time.Until(c.Deadline)), 1), AnyState: c.AnyState, Proof: c.Proof, Values: c.SessionState.Values, Ops: wireOps(c.Ops),
+		TimeoutMS: max(millis(time.Until(c.Deadline)), 1), Account: c.Account, AnyState: c.AnyState, Proof: c.Proof, Values: c.SessionState.Values, Ops: wireOps(c.Ops),
 	}
 	if handle == 0 {
 		q.Group, q.Endpoint = g, id
@@ -288,7 +315,7 @@
 	now := time.Now()
 	c := engine.Call{
 		QueueDeadline: now.Add(time.Duration(q.MaxWaitMS) * time.Millisecond), Deadline: now.Add(time.Duration(q.TimeoutMS) * time.Millisecond),
-		Class: q.Class, AnyState: q.AnyState, Proof: q.Proof, SessionState: engine.SessionState{Values: q.Values}, Ops: make([]engine.Op, len(q.Ops)),
+		Class: q.Class, Account: q.Account, AnyState: q.AnyState, Proof: q.Proof, SessionState: engine.SessionState{Values: q.Values}, Ops: make([]engine.Op, len(q.Ops)),
 	}
 	if f := q.Freshness; f != nil {
 		c.Freshness = &engine.Freshness{MaxAge: time.Duration(f.MaxAgeMS) * time.Millisecond, Seen: point(f.Term, f.Position)}
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 const (
@@ -79,11 +80,13 @@
 }
 
 // rankingKey identifies a ranking of the hosts of a zone. If zone is empty, it is a
-// ranking of the hosts of this host's region or, with otherRegions, of all others.
+// ranking of the hosts of this host's region or, with otherRegions, of all others, or with
+// allRegions of all hosts.
 type rankingKey struct {
 	zone         string
 	key          replicaset.EndpointID
 	otherRegions bool
+	allRegions   bool
 }
 
 // Set replaces the list of hosts.
@@ -122,7 +125,9 @@
 // Lenders returns the addresses of the hosts that are up, in the order of the
 // endpoint's ranking; the first holders of them hold connections to the endpoint.
 // An empty address is this host. If this host is a holder, it comes first; otherwise
-// a hash decides which of the two holders comes first, to spread the load.
+// a hash decides which of the two holders comes first, to spread the load. For an
+// account a hash of the account always decides, so that each of its connections
+// to the endpoint is held by the same host and serves all others.
 //
 // Holders is 0 if each host opens connections of its own: no other host is known, or
 // the endpoint has no connection limit. It is also 0 if no host of the ranking is up.
@@ -130,7 +135,7 @@
 // The holders are hosts of the endpoint's zone, so that one pool serves all zones
 // and a connection is occupied only while the endpoint works, not during a round
 // trip to another region.
-func (r *Ring) Lenders(m replicaset.Member, maxConnections int) (addresses []string, holders int) {
+func (r *Ring) Lenders(m replicaset.Member, maxConnections int, a session.Account) (addresses []string, holders int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if maxConnections == 0 || len(r.peers) < 2 {
@@ -138,7 +143,11 @@
 	}
 	addresses = r.liveAddresses(rankingKey{zone: m.Zone, key: m.ID})
 	holders = min(holdersPerEndpoint, len(addresses))
-	if holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1) {
+	swap := holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1)
+	if a != "" {
+		swap = holders > 1 && xxhash.Sum64String(string(a)+string(m.ID))%2 == 1
+	}
+	if swap {
 		addresses[0], addresses[1] = addresses[1], addresses[0]
 	}
 	return addresses, holders
@@ -168,7 +177,9 @@
 		return order
 	}
 	var peers []Peer
-	if near, far := r.splitByRegion(); k.zone != "" {
+	if near, far := r.splitByRegion(); k.allRegions {
+		peers = r.peers
+	} else if k.zone != "" {
 		peers = r.hostsInZone(k.zone)
 	} else if peers = near; k.otherRegions {
 		peers = far
@@ -221,7 +232,7 @@
 // returns it: 0 for a holder, math.MaxInt for a host that is not ranked. It reports
 // false if each host opens connections of its own.
 func (r *Ring) Rank(m replicaset.Member, maxConnections int) (rank int, ok bool) {
-	addresses, holders := r.Lenders(m, maxConnections)
+	addresses, holders := r.Lenders(m, maxConnections, "")
 	if holders == 0 {
 		return 0, false
 	}
@@ -231,6 +242,34 @@
 	return math.MaxInt, true
 }
 
+// grantKey is hashed in place of an endpoint ID when hosts are ranked for granting the limits
+// of accounts.
+const grantKey = "limits"
+
+// GrantRank returns this host's position among the hosts that are up, in the order in which they
+// take over granting the limits of accounts. It is false if this host is not listed.
+func (r *Ring) GrantRank() (rank int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rank = slices.Index(r.liveAddresses(rankingKey{key: grantKey, allRegions: true}), "")
+	return rank, rank >= 0
+}
+
+// Address returns the address of a host by its name. It is empty for this host.
+func (r *Ring) Address(name string) (address string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name == r.Self {
+		return "", true
+	}
+	for _, p := range r.peers {
+		if p.Name == name {
+			return p.Address, true
+		}
+	}
+	return "", false
+}
+
 // Detours returns hosts through which an endpoint may be reached that this host
 // cannot reach: those of the endpoint's zone first, then others.
 func (r *Ring) Detours(m replicaset.Member) (addresses []string) {
--- a/internal/lending/ring_test.go
+++ b/internal/lending/ring_test.go
@@ -84,17 +84,17 @@
 	r := &Ring{Self: "h-0", Zone: "z", Now: func() time.Time { return now }}
 	r.Set(peers)
 	m := replicaset.Member{ID: "m", Zone: "z"}
-	first, _ := r.Lenders(m, 100)
-	if n := testing.AllocsPerRun(100, func() { r.Lenders(m, 100) }); n > 2 {
+	first, _ := r.Lenders(m, 100, "")
+	if n := testing.AllocsPerRun(100, func() { r.Lenders(m, 100, "") }); n > 2 {
 		t.Errorf("%.0f allocations for a cached ranking, want at most 2", n)
 	}
 	holder := slices.IndexFunc(first, func(a string) bool { return a != "" })
 	r.MarkDown(first[holder])
-	if again, _ := r.Lenders(m, 100); slices.Contains(again, first[holder]) {
+	if again, _ := r.Lenders(m, 100, ""); slices.Contains(again, first[holder]) {
 		t.Error("a host marked down is listed from a cached ranking")
 	}
 	r.Set(peers[:1])
-	if alone, holders := r.Lenders(m, 100); holders != 0 {
+	if alone, holders := r.Lenders(m, 100, ""); holders != 0 {
 		t.Errorf("with no other host, Lenders returned %v, want no holders", alone)
 	}
 }
--- a/pkg/session/point.go
+++ b/pkg/session/point.go
@@ -5,8 +5,8 @@
 // Group is the name of a database group.
 type Group string
 
-// Account is the name of a client account. The empty account stands for callers of public databases and for
-// all callers where accounts are not in use.
+// Account is the name of a client account. The empty account stands for callers of public
+// databases, and for all callers where accounts are not in use.
 type Account string
 
 // Term identifies a period in which one primary leads a database group. Terms only
