replicaset: time of an endpoint's registration or restart

Cause: the slow start of an endpoint needs to know whether it has just started. Change: Set.RegisteredAt.

--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -34,13 +34,15 @@
 type memberState struct {
 	Member
 	// recorded is set if a membership record has named this incarnation.
-	recorded   bool
-	removedAt  Instant
-	avoidUntil Instant
-	latency    time.Duration
-	latencyAt  Instant
-	inFlight   int
-	position   session.Point
+	recorded  bool
+	removedAt Instant
+	// registeredAt is when this host first heard of the endpoint, or of its last restart.
+	registeredAt Instant
+	avoidUntil   Instant
+	latency      time.Duration
+	latencyAt    Instant
+	inFlight     int
+	position     session.Point
 	// lackedPoint is the position that the member lacked when it was last tried. Reads that
 	// need it avoid the member until behindUntil.
 	lackedPoint   session.Point
@@ -149,6 +151,9 @@
 		old.absentAt = 0
 		delete(s.lost, m.incarnation())
 	}
+	if !ok || old.Started != m.Started {
+		old.registeredAt = now
+	}
 	if old.Started != m.Started {
 		_, old.recorded = s.recorded[m.incarnation()]
 		old.position, old.behindBackoff, old.behindUntil = session.Point{}, 0, 0
@@ -224,6 +229,17 @@
 	return m.Member, true
 }
 
+// RegisteredAt returns when this host first heard of an endpoint, or of its last restart; zero if
+// it is no member.
+func (s *Set) RegisteredAt(id EndpointID) Instant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.members[id]; ok {
+		return m.registeredAt
+	}
+	return 0
+}
+
 // Lead returns the primary that this host knows of.
 func (s *Set) Lead() Lead {
 	s.mu.Lock()
