engine: the wait for a connection is fair between accounts

Cause: requests for connections were served by class and arrival, so that an account at ten times its usual load kept the requests of others waiting behind all of its own. Change: pool.waiting is a fairqueue.Queue. Where accounts are not in use it is strict by class and first come, first served, as before. maxOpening, handoverWait and the eviction are unchanged.

--- a/internal/engine/accountpool.go
+++ b/internal/engine/accountpool.go
@@ -79,28 +79,23 @@
 // grantOpenings lets waiting requests of accounts open connections, as many as may be opened
 // at a time.
 func (p *pool) grantOpenings() {
-	for len(p.waiting) > 0 && p.waiting[0].account != noAccount && p.reserveOpening(p.waiting[0].account) {
-		p.grantFirst(grant{mayDial: true})
+	for w := p.firstWaiter(); w != nil && w.account != noAccount && p.reserveOpening(w.account); w = p.firstWaiter() {
+		p.serve(w, grant{mayDial: true})
 	}
 }
 
 // nextWaiter returns the request that gets a released connection of an account, or nil if the
 // connection is to make room for another account.
 func (p *pool) nextWaiter(a session.Account) *waiter {
-	if len(p.waiting) == 0 {
-		return nil
-	}
-	first := p.waiting[0]
-	if first.account == a {
+	first := p.firstWaiter()
+	if first == nil || first.account == a {
 		return first
 	}
 	if p.now().Sub(first.since) >= handoverWait && p.opening < p.maxOpening() {
 		return nil
 	}
-	for _, w := range p.waiting {
-		if w.account == a {
-			return w
-		}
+	if it := p.waitQueue().NextOf(a, p.now(), connectionCost); it != nil {
+		return it.Value
 	}
 	return nil
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/internal/fairqueue"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -29,6 +30,8 @@
 	// minOpen is how many connections a host keeps open even if they are not
 	// used.
 	minOpen = 1
+	// connectionCost is what each use of a connection counts in the order of waiting requests.
+	connectionCost = initialServiceTime
 )
 
 // errFull reports that the endpoint has no connection left.
@@ -58,6 +61,7 @@
 type connNeed struct {
 	account session.Account
 	class   int
+	weight  float64
 	values  map[string]string
 }
 
@@ -67,6 +71,7 @@
 	class   int
 	account session.Account
 	since   time.Time
+	item    *fairqueue.Item[*waiter]
 }
 
 // pool holds this host's connections to one endpoint.
@@ -87,6 +92,8 @@
 	opening int
 	share   int
 	limit   int
+	// fair reports whether waiting requests are ordered by account.
+	fair func() bool
 	// lends means that this host holds the connections for other hosts, too.
 	lends bool
 	// endpointLimit is how many connections the endpoint accepts from all hosts
@@ -95,7 +102,7 @@
 	fullUntil     time.Time
 	// evicted counts the connections closed to make room for another account.
 	evicted int
-	waiting []*waiter
+	waiting fairqueue.Queue[*waiter]
 	closed  bool
 	// unreachable means that this host cannot reach the endpoint.
 	unreachable        bool
@@ -138,7 +145,7 @@
 		return nil, errFull
 	}
 	w := p.newWaiter(need)
-	ahead := p.enqueue(w)
+	ahead := p.enqueue(w, need.weight)
 	if p.gate != nil && !p.gate.canServe(ahead+1, deadline) {
 		p.removeWaiter(w)
 		p.mu.Unlock()
@@ -174,17 +181,20 @@
 	return nil, errFull
 }
 
-// enqueue inserts a waiter in order of class and returns how many are ahead of
-// it.
-func (p *pool) enqueue(w *waiter) int {
-	i := len(p.waiting)
-	for i > 0 && p.waiting[i-1].class > w.class {
-		i--
-	}
-	p.waiting = append(p.waiting, nil)
-	copy(p.waiting[i+1:], p.waiting[i:])
-	p.waiting[i] = w
-	return i
+// waitQueue returns the queue of the waiting requests. Where accounts are in use, it is fair
+// between them and gives reads a share beside writes.
+func (p *pool) waitQueue() *fairqueue.Queue[*waiter] {
+	p.waiting.Strict = p.fair == nil || !p.fair()
+	return &p.waiting
+}
+
+// enqueue queues a waiter and returns how many are ahead of it.
+func (p *pool) enqueue(w *waiter, weight float64) int {
+	q := p.waitQueue()
+	r := fairqueue.Request{Class: w.class, Account: w.account, Weight: weight}
+	ahead := q.Ahead(r, w.since, connectionCost)
+	w.item = q.Push(r, w, w.since, connectionCost)
+	return ahead
 }
 
 // cancelWaiter removes a waiter and reports whether it was still queued.
@@ -195,14 +205,21 @@
 }
 
 // removeWaiter is cancelWaiter for a caller that holds p.mu.
-func (p *pool) removeWaiter(w *waiter) bool {
-	for i, o := range p.waiting {
-		if o == w {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return true
-		}
+func (p *pool) removeWaiter(w *waiter) bool { return p.waiting.Remove(w.item) }
+
+// firstWaiter returns the request that is served next, or nil if none waits.
+func (p *pool) firstWaiter() *waiter {
+	it := p.waitQueue().Next(p.now(), connectionCost)
+	if it == nil {
+		return nil
 	}
-	return false
+	return it.Value
+}
+
+// serve removes a waiter and gives it a connection or the permission to dial one.
+func (p *pool) serve(w *waiter, g grant) {
+	p.waitQueue().Take(w.item, connectionCost)
+	w.ready <- g
 }
 
 // takeIdle removes and returns an idle connection of the account, preferably one that has
@@ -290,7 +307,7 @@
 		return p.connect(deadline, need)
 	}
 	w := p.newWaiter(need)
-	p.enqueue(w)
+	p.enqueue(w, need.weight)
 	p.mu.Unlock()
 	return p.wait(w, deadline, need)
 }
@@ -310,10 +327,9 @@
 	if p.open > 0 {
 		return
 	}
-	for _, w := range p.waiting {
-		w.ready <- grant{}
+	for _, it := range p.waiting.Drain() {
+		it.Value.ready <- grant{}
 	}
-	p.waiting = nil
 }
 
 // release passes a connection to the next waiter, or else returns it to the pool
@@ -329,15 +345,14 @@
 	if !c.reusable() || p.closed {
 		p.open--
 		c.Close()
-		if len(p.waiting) > 0 && p.reserveOpening(p.waiting[0].account) {
-			p.grantFirst(grant{mayDial: true})
+		if w := p.firstWaiter(); w != nil && p.reserveOpening(w.account) {
+			p.serve(w, grant{mayDial: true})
 		}
 		p.failWaiters()
 		return
 	}
 	if w := p.nextWaiter(c.account); w != nil {
-		p.removeWaiter(w)
-		w.ready <- grant{conn: c}
+		p.serve(w, grant{conn: c})
 		return
 	}
 	c.idleSince = p.now()
@@ -345,12 +360,6 @@
 	p.grantOpenings()
 }
 
-func (p *pool) grantFirst(g grant) {
-	w := p.waiting[0]
-	p.waiting = p.waiting[1:]
-	w.ready <- g
-}
-
 // trim closes idle connections above the host's share, and those that have not
 // been used for a while.
 func (p *pool) trim() {
@@ -407,5 +416,5 @@
 func (p *pool) stats() (open, idle, waiting int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, len(p.idle), len(p.waiting)
+	return p.open, len(p.idle), p.waiting.Len()
 }
