engine: fair order at the gate of an endpoint, and slow start

Cause: the gate served by class and arrival, and started at slots + 1 whatever the endpoint's state. Change: gate.enter takes class, account, weight and target; where accounts are in use its queue is a fairqueue.Queue, otherwise the old list. A queued request whose deadline is lost is refused on the next answer. An admitted request is charged its expected duration, corrected when it ends. Writes outside of transactions pass the gate where accounts are in use, and give up their place after the expected duration: then they wait for replicas. Sessions fill Call.TargetBy and Call.Weight. The calls of enter in gate_test.go and reuse_test.go got the new argument, nothing else.

--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	Rate, Burst float64
 }
 
+// maxPriorityStep bounds how far an account's weight falls below the usual one, so that an account
+// of low priority still gets a share.
+const maxPriorityStep = 4
+
 // KeyDigest is a keyed digest of an account's key. The key of the digest is drawn at the start
 // of the process, so that digests mean nothing elsewhere and lookups reveal nothing of a key.
 type KeyDigest [sha256.Size]byte
@@ -107,6 +112,7 @@
 // admitAttempt gives an attempt the session's account and admission.
 func (s *CallerSession) admitAttempt(a *attempt) error {
 	a.account = s.account
+	s.schedule(a)
 	if err := s.admit(a.queueDeadline); err != nil {
 		return err
 	}
@@ -120,6 +126,32 @@
 	return nil
 }
 
+// shareOf returns the weight of a priority: each step halves it. 1 is the usual priority and has
+// the weight 1.
+func shareOf(priority int) float64 {
+	return math.Ldexp(1, min(max(1-priority, -maxPriorityStep), 1))
+}
+
+// schedule gives an attempt its statement's target and the weight of its account. Where accounts
+// are not in use, it has neither.
+func (s *CallerSession) schedule(a *attempt) {
+	d := s.resolved
+	if d == nil || d.Accounts == nil {
+		return
+	}
+	db, priority := s.db, s.db.Priority
+	if s.tx != nil {
+		db = s.tx.db
+	}
+	if declared, ok := d.Accounts[s.account]; ok {
+		priority = declared.Priority
+	}
+	a.weight = shareOf(priority)
+	if db.TargetLatency > 0 {
+		a.targetBy = s.arrivedAt.Add(db.TargetLatency)
+	}
+}
+
 // noteSent notes that an endpoint may have run the operation, so that another attempt needs
 // another admission.
 func (s *CallerSession) noteSent(sent bool) {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -37,6 +37,11 @@
 	// SendBy is when the first request has to be sent, 0 for no limit. It bounds how many
 	// operations of an account run in a window of its limit.
 	SendBy replicaset.Instant
+	// TargetBy is when the call has to be answered to meet its target latency, zero for no
+	// target. Weight is its account's share of an endpoint relative to other accounts, 0 for
+	// the usual one.
+	TargetBy time.Time
+	Weight   float64
 	// AnyState marks requests that do not depend on session state.
 	AnyState bool
 	Ops      []Op
@@ -77,18 +82,8 @@
 	if c.RunRemote != nil {
 		return c.RunRemote(call)
 	}
-	if c.gate != nil && !call.AnyState && !call.commitsWrites() {
-		if err := c.gate.enter(call.QueueDeadline, call.Class); err != nil {
-			return nil, NotSent(err)
-		}
-		if c.tooLate(call) {
-			c.gate.cancel()
-			return nil, NotSent(errSendByPassed)
-		}
-		began := c.gate.now()
-		out, err := c.run(call)
-		c.gate.leave(c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy)
-		return out, err
+	if c.gate != nil && !call.AnyState && c.gate.admits(call) {
+		return c.runAdmitted(call)
 	}
 	if c.tooLate(call) {
 		return nil, NotSent(errSendByPassed)
@@ -96,14 +91,34 @@
 	return c.run(call)
 }
 
+// runAdmitted runs a call after the endpoint's gate has admitted it.
+func (c *Conn) runAdmitted(call Call) ([]Outcome, error) {
+	r := queued{class: call.Class, account: c.account, weight: call.Weight, targetBy: call.TargetBy}
+	if err := c.gate.enter(call.QueueDeadline, r); err != nil {
+		return nil, NotSent(err)
+	}
+	if c.tooLate(call) {
+		c.gate.cancel()
+		return nil, NotSent(errSendByPassed)
+	}
+	a := answer{commits: call.commitsWrites()}
+	if a.commits {
+		a.place = c.gate.freeWhenDone()
+	}
+	began := c.gate.now()
+	out, err := c.run(call)
+	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil
+	c.gate.end(r, a)
+	return out, err
+}
+
 // tooLate reports whether the time by which a call has to be sent has passed.
 func (c *Conn) tooLate(call Call) bool {
 	return call.SendBy != 0 && c.bootTime != nil && c.bootTime() > call.SendBy
 }
 
-// commitsWrites reports whether the call ends with a commit of writes. Such a
-// call bypasses the gate: while it waits for replicas, it occupies no slot of
-// the endpoint.
+// commitsWrites reports whether the call ends with a commit of writes. While such a
+// call waits for replicas, it occupies no slot of the endpoint.
 func (c Call) commitsWrites() bool { return len(c.Ops) > 0 && c.Ops[len(c.Ops)-1].Commits }
 
 func (c *Conn) run(call Call) ([]Outcome, error) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -56,6 +56,9 @@
 	Preconnect func(address string)
 	// EndLoan ends a transaction that a call left open on another host.
 	EndLoan func(address string, handle uint64)
+	// SlowStart makes an endpoint that has just started, recovered or become primary begin with
+	// one request in flight.
+	SlowStart bool
 	// Event receives each decision; it must not block.
 	Event func(Event)
 
@@ -64,6 +67,8 @@
 	mu     sync.Mutex
 	groups map[session.Group]*group
 	hosts  int
+	// startedAt is when this host heard of its first group.
+	startedAt replicaset.Instant
 }
 
 // Event is one decision about a statement, an endpoint or the primary of a
@@ -172,6 +177,9 @@
 	}
 	if e.groups == nil {
 		e.groups = make(map[session.Group]*group)
+		if e.SlowStart {
+			e.startedAt = e.BootTime()
+		}
 	}
 	e.groups[name] = g
 	return g
@@ -228,6 +236,7 @@
 		}
 		for _, p := range g.allPools() {
 			e.updateShare(p)
+			e.updateRole(g, p)
 			p.trim()
 		}
 		e.prepareForBorrowers(g, now)
@@ -262,15 +271,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, ok := g.pools[m.ID]
+	old := p
 	if ok && (p.member.Started != m.Started || p.member.Address != m.Address) {
 		go p.close()
 		ok = false
 	}
 	if !ok {
-		p = &pool{member: m, dial: e.dialMember, now: e.Now, bootTime: e.BootTime, gate: newGate(e.Now, m.Slots)}
+		p = &pool{member: m, dial: e.dialMember, now: e.Now, bootTime: e.BootTime, gate: newGate(e.Now, m.Slots), fair: e.usesAccounts}
+		p.gate.fair = e.usesAccounts
+		e.initPace(g, p, old)
 		p.setShare(g.policy.MaxConnections, hosts)
 		g.pools[m.ID] = p
 	}
+	e.updateRole(g, p)
 	return p
 }
 
--- a/internal/engine/gate.go
+++ b/internal/engine/gate.go
@@ -4,6 +4,9 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/fairqueue"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 const (
@@ -56,6 +59,25 @@
 	roundTrip   time.Duration
 	decreasedAt time.Time
 	waiting     []*gateWaiter
+	// fair reports whether requests are ordered by account and target, and queue has those
+	// that are. They are checked for lost deadlines at checkedAt.
+	fair      func() bool
+	queue     fairqueue.Queue[chan error]
+	checkedAt time.Time
+	// pace is the slow start of the endpoint, nil where it is not in use.
+	pace *pace
+}
+
+// queued describes a request to the queue of an endpoint.
+type queued struct {
+	// class is the priority class, lowest first.
+	class   int
+	account session.Account
+	// weight is the account's share of the capacity relative to others, 0 for the usual one.
+	weight float64
+	// targetBy is when the request has to be answered to meet its target latency, zero for
+	// no target.
+	targetBy time.Time
 }
 
 // gateWaiter is a request that waits for admission.
@@ -90,7 +112,7 @@
 	work := max(g.serviceTime-g.roundTrip, minWork)
 	inTransit := min(float64(g.roundTrip)/float64(work), maxInTransitPerSlot)
 	maxLimit := g.slots*(1+inTransit) + spareSlots
-	if maxLimit > g.maxLimit {
+	if maxLimit > g.maxLimit && !g.paced() {
 		g.limit += maxLimit - g.maxLimit
 	}
 	g.maxLimit = maxLimit
@@ -99,19 +121,27 @@
 
 // enter waits for admission. It fails at once if admission is not expected in
 // time, and otherwise when the time has passed.
-func (g *gate) enter(until time.Time, class int) error {
+func (g *gate) enter(until time.Time, r queued) error {
 	g.mu.Lock()
-	if len(g.waiting) == 0 && g.running < int(g.limit) {
+	if g.pace != nil {
+		g.beginPace()
+		g.checkPace()
+	}
+	if g.waitingRequests() == 0 && g.running < int(g.limit) {
 		g.running++
 		g.mu.Unlock()
 		return nil
 	}
+	if g.fair != nil && g.fair() {
+		return g.enterFair(until, r)
+	}
+	class := r.class
 	at := len(g.waiting)
 	for at > 0 && g.waiting[at-1].class > class {
 		at--
 	}
 	rest := until.Sub(g.now())
-	if expected := time.Duration(float64(g.serviceTime) * float64(at+1) / g.limit); expected > rest {
+	if g.expectedWait(at+1) > rest {
 		g.mu.Unlock()
 		return errOverloaded
 	}
@@ -128,7 +158,7 @@
 func (g *gate) canServe(requests int, until time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return time.Duration(float64(g.serviceTime)*float64(requests)/g.limit) <= until.Sub(g.now())
+	return g.expectedWait(requests) <= until.Sub(g.now())
 }
 
 // wait waits until a queued request is admitted or the time has passed.
@@ -163,17 +193,37 @@
 // waiting requests. shed reports that the endpoint refused the request as too
 // much load.
 func (g *gate) leave(took time.Duration, shed bool) {
+	g.end(queued{}, answer{took: took, shed: shed})
+}
+
+// end is leave for a request of which more is known.
+func (g *gate) end(r queued, a answer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running--
-	if now := g.now(); !shed {
-		g.serviceTime += time.Duration(serviceTimeWeight * float64(took-g.serviceTime))
+	if a.place.free() {
+		g.running--
+	}
+	if a.commits {
+		// How long it waited for replicas tells nothing of the endpoint.
+		a.took = min(a.took, g.serviceTime)
+	}
+	if g.pace != nil {
+		g.pacedAnswer(a)
+	}
+	if now := g.now(); !a.shed {
+		if !a.commits {
+			g.chargeExtra(r, a.took)
+			g.serviceTime += time.Duration(serviceTimeWeight * float64(a.took-g.serviceTime))
+		}
 		g.updateMaxLimit()
-		g.limit = min(g.maxLimit, g.limit+gateIncrease/g.limit)
-	} else if now.Sub(g.decreasedAt) >= gateDecreaseInterval {
+		if !g.paced() {
+			g.limit = min(g.maxLimit, g.limit+gateIncrease/g.limit)
+		}
+	} else if !g.paced() && now.Sub(g.decreasedAt) >= gateDecreaseInterval {
 		g.limit, g.decreasedAt = max(1, g.limit*gateDecrease), now
 	}
 	g.admitWaiting()
+	g.refuseOverdue()
 }
 
 // admitWaiting admits waiting requests up to the limit.
@@ -183,4 +233,5 @@
 		close(g.waiting[0].ready)
 		g.waiting = g.waiting[1:]
 	}
+	g.admitFair()
 }
--- a/internal/engine/gate_test.go
+++ b/internal/engine/gate_test.go
@@ -14,20 +14,20 @@
 	g := newGate(time.Now, 2)
 	const service = 20 * time.Millisecond
 	for range 40 {
-		if err := g.enter(time.Now().Add(time.Second), classRead); err != nil {
+		if err := g.enter(time.Now().Add(time.Second), queued{class: classRead}); err != nil {
 			t.Fatal(err)
 		}
 		g.leave(service, false)
 	}
 	for range 2 + spareSlots {
-		if err := g.enter(time.Now().Add(time.Second), classRead); err != nil {
+		if err := g.enter(time.Now().Add(time.Second), queued{class: classRead}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	results := make(chan error, 100)
 	began := time.Now()
 	for range cap(results) {
-		go func() { results <- g.enter(time.Now().Add(5*service), classRead) }()
+		go func() { results <- g.enter(time.Now().Add(5*service), queued{class: classRead}) }()
 	}
 	refused := 0
 	for range cap(results) / 2 {
@@ -46,12 +46,12 @@
 func TestGateOrder(t *testing.T) {
 	g := newGate(time.Now, 1)
 	for g.running < int(g.limit) {
-		_ = g.enter(time.Now().Add(time.Second), classRead)
+		_ = g.enter(time.Now().Add(time.Second), queued{class: classRead})
 	}
 	order := make(chan int, 3)
 	for i, class := range []int{classRead, classWrite, classInTransaction} {
 		go func() {
-			if g.enter(time.Now().Add(5*time.Second), class) == nil {
+			if g.enter(time.Now().Add(5*time.Second), queued{class: class}) == nil {
 				order <- class
 				g.leave(time.Millisecond, false)
 			}
@@ -78,7 +78,7 @@
 	g := newGate(func() time.Time { return now }, 3)
 	for range 50 {
 		now = now.Add(gateDecreaseInterval)
-		if err := g.enter(now.Add(time.Second), classRead); err != nil {
+		if err := g.enter(now.Add(time.Second), queued{class: classRead}); err != nil {
 			t.Fatal(err)
 		}
 		g.leave(time.Millisecond, true)
@@ -87,7 +87,7 @@
 		t.Errorf("the limit is %f after refusals, want 1", g.limit)
 	}
 	for range 100 {
-		_ = g.enter(now.Add(time.Second), classRead)
+		_ = g.enter(now.Add(time.Second), queued{class: classRead})
 		g.leave(time.Millisecond, false)
 	}
 	if g.limit != g.maxLimit {
@@ -113,14 +113,14 @@
 		g := newGate(time.Now, tt.slots)
 		g.noteRoundTrip(tt.roundTrip)
 		for range 100 {
-			if err := g.enter(time.Now().Add(time.Minute), classRead); err != nil {
+			if err := g.enter(time.Now().Add(time.Minute), queued{class: classRead}); err != nil {
 				t.Fatal(err)
 			}
 			g.leave(tt.roundTrip+work, false)
 		}
 		admitted := 0
 		for admitted < 200 && g.running < int(g.limit) {
-			_ = g.enter(time.Now().Add(time.Minute), classRead)
+			_ = g.enter(time.Now().Add(time.Minute), queued{class: classRead})
 			admitted++
 		}
 		if admitted < tt.want-1 || admitted > tt.want+1 {
--- a/internal/engine/lending.go
+++ b/internal/engine/lending.go
@@ -103,7 +103,7 @@
 	if call.Proof && lead.ID != p.member.ID {
 		return nil, errNoProof
 	}
-	c, err := p.acquire(call.QueueDeadline, connNeed{account: call.Account, class: call.Class, values: call.SessionState.Values})
+	c, err := p.acquire(call.QueueDeadline, connNeed{account: call.Account, class: call.Class, weight: call.Weight, values: call.SessionState.Values})
 	if err != nil || !call.Proof {
 		return c, err
 	}
--- a/internal/engine/reuse_test.go
+++ b/internal/engine/reuse_test.go
@@ -134,7 +134,7 @@
 	m, _ := g.Member("p")
 	gate := e.pool(g, m).gate
 	n := 0
-	for gate.enter(e.Now(), classInTransaction) == nil {
+	for gate.enter(e.Now(), queued{class: classInTransaction}) == nil {
 		n++
 	}
 	return func() {
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -105,11 +105,17 @@
 	// has to be sent, 0 for none.
 	account session.Account
 	sendBy  replicaset.Instant
+	// targetBy and weight are those of Call.
+	targetBy time.Time
+	weight   float64
 }
 
 // call returns a call of the given requests within the limits of the attempt.
 func (a attempt) call(state SessionState, ops ...Op) Call {
-	return Call{QueueDeadline: a.queueDeadline, Deadline: a.deadline, Class: a.class, Proof: a.proof, Freshness: a.freshness, Account: a.account, SendBy: a.sendBy, SessionState: state, Ops: ops}
+	return Call{
+		QueueDeadline: a.queueDeadline, Deadline: a.deadline, Class: a.class, Proof: a.proof, Freshness: a.freshness,
+		Account: a.account, SendBy: a.sendBy, TargetBy: a.targetBy, Weight: a.weight, SessionState: state, Ops: ops,
+	}
 }
 
 // connectAttempt returns a connection for an attempt. On a connection of this
@@ -119,7 +125,7 @@
 	if err := s.admitAttempt(a); err != nil {
 		return nil, err
 	}
-	c, err := s.e.acquireConn(p, a.queueDeadline, connNeed{account: a.account, class: a.class, values: s.values})
+	c, err := s.e.acquireConn(p, a.queueDeadline, connNeed{account: a.account, class: a.class, weight: a.weight, values: s.values})
 	if err != nil || c.RunRemote != nil {
 		return c, err
 	}
@@ -185,6 +191,9 @@
 		p.closeIdle()
 	}
 	g.RecordFailure(e.BootTime(), id)
+	if p.gate != nil {
+		p.gate.noteFailure()
+	}
 }
 
 // refusalOutcome returns the outcome of an attempt that failed with err.
@@ -412,6 +421,10 @@
 			last = o
 		}
 		s.emitRetry(q, m, o, err)
+		if errors.Is(err, errOverloaded) && s.e.usesAccounts() {
+			last = o
+			break
+		}
 		if err == nil && o.Code == ReadOnly {
 			// Another member may lead by now; the request for a proof finds the
 			// new primary, or that its promotion is not recorded.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -23,6 +23,8 @@
 	// sent yet.
 	sendBy   replicaset.Instant
 	admitted bool
+	// arrivedAt is when the session's last statement arrived.
+	arrivedAt time.Time
 	// seen is the log position in each group that the session's reads must
 	// include.
 	seen     map[session.Group]session.Point
@@ -109,6 +111,7 @@
 
 // Run runs one statement.
 func (s *CallerSession) Run(st Statement) Outcome {
+	s.arrivedAt = s.e.Now()
 	o := s.run(st)
 	o.State = s.state
 	return o
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -190,6 +190,7 @@
 func (s *CallerSession) runRetryingBusy(deadline time.Time, state SessionState, op Op) (Outcome, error) {
 	tx := s.tx
 	a := attempt{g: tx.g, member: tx.member, class: classInTransaction, queueDeadline: deadline, deadline: deadline}
+	s.schedule(&a)
 	for pause := retryPause; ; pause = min(2*pause, maxRetryPause) {
 		out, err := s.e.perform(tx.g, tx.member, tx.conn, a.call(state, op))
 		if err != nil {
