--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -100,11 +100,14 @@
 	Body      *preparedBody
 	Ops       []op
 	Freshness *freshness
-	// Account, SendByMS and Limits are sent only over links of hosts that use accounts, as
-	// part of accountRequest. SendByMS is the time left to send the call's first
-	// operation, 0 for no limit.
+	// Account, SendByMS, TargetMS, Weight and Limits are sent only over links of hosts that
+	// use accounts, as part of accountRequest. SendByMS is the time left to send the call's
+	// first operation, 0 for no limit. TargetMS is the time left to meet the target latency,
+	// negative if it has passed, 0 for no target.
 	Account  session.Account `cbor:"-"`
 	SendByMS int64           `cbor:"-"`
+	TargetMS int64           `cbor:"-"`
+	Weight   float64         `cbor:"-"`
 	Limits   *limitsRequest  `cbor:"-"`
 }
 
@@ -297,6 +300,7 @@
 	q := request{
 		Verb: verbRun, Handle: handle, Class: c.Class, MaxWaitMS: millis(time.Until(c.QueueDeadline)),
 		TimeoutMS: max(millis(time.Until(c.Deadline)), 1), Account: c.Account, AnyState: c.AnyState, Proof: c.Proof, Values: c.SessionState.Values, Ops: wireOps(c.Ops),
+		TargetMS: remainingTarget(c.TargetBy), Weight: c.Weight,
 	}
 	if handle == 0 {
 		q.Group, q.Endpoint = g, id
@@ -316,6 +320,7 @@
 	c := engine.Call{
 		QueueDeadline: now.Add(time.Duration(q.MaxWaitMS) * time.Millisecond), Deadline: now.Add(time.Duration(q.TimeoutMS) * time.Millisecond),
 		Class: q.Class, Account: q.Account, AnyState: q.AnyState, Proof: q.Proof, SessionState: engine.SessionState{Values: q.Values}, Ops: make([]engine.Op, len(q.Ops)),
+		TargetBy: targetBy(now, q.TargetMS), Weight: q.Weight,
 	}
 	if f := q.Freshness; f != nil {
 		c.Freshness = &engine.Freshness{MaxAge: time.Duration(f.MaxAgeMS) * time.Millisecond, Seen: point(f.Term, f.Position)}
