--- a/internal/engine/commitgate_test.go
+++ b/internal/engine/commitgate_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // commitConn returns a connection whose commits wait for replicas until release is closed.
@@ -83,3 +85,32 @@
 		t.Errorf("%d requests are in flight, want none", n)
 	}
 }
+
+// TestWriteIsRefusedAtOnce guards against a write that is tried again until its deadline although
+// its endpoint can't serve it in time.
+func TestWriteIsRefusedAtOnce(t *testing.T) {
+	e := newPinnedEngine(&pinnedEndpoint{})
+	e.Apply(&Declared{
+		Version: 2, Groups: map[session.Group]GroupPolicy{"g": {MaxConnections: 2, Synchronous: true}},
+		Databases: map[string]Database{"db": {Group: "g", StatementTimeout: 2 * time.Second}},
+		Accounts:  map[session.Account]Account{"a": {Name: "a", Priority: 1}},
+		Keys:      map[KeyDigest]session.Account{DigestKey("k"): "a"},
+	})
+	defer saturate(e)()
+	m, _ := e.group("g").Member("p")
+	gate := e.pool(e.group("g"), m).gate
+	gate.mu.Lock()
+	gate.serviceTime = time.Minute
+	gate.mu.Unlock()
+	s, o := e.Open("db", "k")
+	if s == nil {
+		t.Fatal(o)
+	}
+	began := time.Now()
+	if o := s.Run(Statement{Kind: Write, ID: "a-1", Text: "WRITE 1"}); o.Code != Busy {
+		t.Errorf("the write is answered with %s", o.Code)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the refusal took %s", took)
+	}
+}
