engine: slow start at endpoints of very short answers; admit after a raised limit

Cause: durations below 1 ms vary by more than three times; a limit raised by a shorter round trip admitted no waiting request until the next answer. Change: the expected duration counts as 1 ms at least; a queued request is admitted at once if the limit allows it.

--- a/internal/engine/gatefair.go
+++ b/internal/engine/gatefair.go
@@ -32,6 +32,8 @@
 		return errOverloaded
 	}
 	it := g.queue.Push(q, make(chan error, 1), now, g.serviceTime)
+	// The limit may have risen since the last answer.
+	g.admitWaiting()
 	g.mu.Unlock()
 	return g.waitFair(it, rest)
 }
--- a/internal/engine/pace.go
+++ b/internal/engine/pace.go
@@ -167,7 +167,7 @@
 	problem := p.problem
 	if p.served > 0 {
 		mean := p.total / time.Duration(p.served)
-		problem = problem || mean > slowAnswerFactor*p.base
+		problem = problem || mean > slowAnswerFactor*max(p.base, minWork)
 		p.updateBase(mean, p.served)
 	}
 	p.answers, p.served, p.problem, p.total = 0, 0, false, 0
@@ -185,11 +185,12 @@
 	return min(limit+gateIncrease, maxLimit)
 }
 
-// updateBase lets the expected duration follow the answers: down at once, up slowly.
+// updateBase lets the expected duration follow the answers: a moving average of faster ones, and
+// by a bounded factor with each slower one.
 func (p *pace) updateBase(mean time.Duration, answers int) {
 	if mean < p.base {
-		p.base += time.Duration(serviceTimeWeight * float64(answers) / float64(answers+1) * float64(mean-p.base))
+		p.base += time.Duration(serviceTimeWeight * float64(mean-p.base))
 		return
 	}
-	p.base = min(mean, p.base+time.Duration(slowBaseGrowth*float64(answers)*float64(p.base)))
+	p.base = min(mean, p.base+time.Duration(slowBaseGrowth*float64(answers)*float64(max(p.base, minWork))))
 }
