--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -249,12 +249,13 @@
 	return a, a.Epoch != 0
 }
 
-// Stats returns the counters of both sides, and the granting host as announced.
-func (s *Service) Stats() (ratelimit.SpenderStats, ratelimit.GranterStats, string) {
+// Stats returns the counters of both sides, and whether this host grants.
+func (s *Service) Stats() (spender ratelimit.SpenderStats, granter ratelimit.GranterStats, granting bool) {
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.spender.Stats(s.now()), s.granter.Stats(), s.holder
+	_, granting = s.lease.grantsUntil(s.BootTime())
+	return s.spender.Stats(s.now()), s.granter.Stats(), granting
 }
 
 // Busiest returns the n accounts with the most use and the use of all others, if this host grants.
