--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -151,16 +151,21 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			m.checkEra(ctx)
-			for _, set := range m.Engine.Groups() {
-				m.checkGroup(ctx, set)
-			}
-			m.checkMemberships(ctx)
-			m.checkUnconfirmed(ctx)
+			m.check(ctx)
 		}
 	}
 }
 
+// check runs all checks that are due.
+func (m *Manager) check(ctx context.Context) {
+	m.checkEra(ctx)
+	for _, set := range m.Engine.Groups() {
+		m.checkGroup(ctx, set)
+	}
+	m.checkMemberships(ctx)
+	m.checkUnconfirmed(ctx)
+}
+
 // checkGroup starts a goroutine that confirms and handles a suspicion about a group, if
 // there is one and none is being handled.
 func (m *Manager) checkGroup(ctx context.Context, set *replicaset.Set) {
