Maintenance by demand: look at what changed, is held or is used

Cause: five times a second each host looked at every member of every group, opened links to the holders of all endpoints, and, as a holder, asked the members of groups twice a second until the first loan ever.

Change: Maintain looks at the groups on an agenda (internal/agenda). A group comes onto it by a change of its members, leadership or records (replicaset.Set.OnChange), a configuration, a request for a connection, its first client, or a change of the hosts (Ring.OnChange). It stays while this host holds a member, has an open connection or a client, has used it within 15 s, or a registration has lapsed. Each 10 s all groups are looked at, as a bound on the harm of an event that was missed. Links are opened ahead for groups with clients only, at the START of the first one. A holder's first look counts as a loan: it renews for 3 s, then only while hosts borrow. Ring.Holds finds out whether this host is a holder without ranking the hosts.

What watches a group that nobody uses: its registrations in the store (a lapse removes the member 2.5 s later on each host, and the failover manager finds the primary gone), the draining flag there, the leadership record, and the two holders of the primary's connections, which ask a replica and the primary each 5 s: an answer with a later term shows a promotion that was not recorded. Before, holders asked twice a second until the first loan, and not at all 3 s after the last one.

Tests count looks, lists, links and status requests.

--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -21,8 +21,10 @@
 	*engine.Engine
 	ring *lending.Ring
 	// elapsed is the time on the host's clocks, in ns.
-	elapsed                                 atomic.Int64
-	lookups, requests, fetches, preconnects atomic.Int64
+	elapsed atomic.Int64
+	// term is the term that replicas report.
+	term                                           atomic.Uint64
+	lookups, looks, requests, fetches, preconnects atomic.Int64
 }
 
 // newCostHost returns a host of a fleet in which the given number of groups have an
@@ -30,6 +32,7 @@
 func newCostHost(hosts, groups int) *costHost {
 	h := &costHost{Engine: &engine.Engine{Zone: "z-0"}}
 	h.elapsed.Store(int64(time.Minute))
+	h.term.Store(1)
 	start := time.Now()
 	clock := func() time.Time { return start.Add(time.Duration(h.elapsed.Load())) }
 	h.ring = &lending.Ring{Self: "h-0", Zone: "z-0", Now: clock}
@@ -43,6 +46,10 @@
 		h.lookups.Add(1)
 		return h.ring.Lenders(m, n)
 	}
+	h.Holds = func(m replicaset.Member, n int) bool {
+		h.looks.Add(1)
+		return h.ring.Holds(m, n)
+	}
 	h.Preconnect = func(string) { h.preconnects.Add(1) }
 	h.EndLoan = func(string, uint64) {}
 	h.Borrow = func(string, replicaset.Member, uint64, engine.Call) (engine.RemoteResult, error) {
@@ -57,7 +64,11 @@
 			if ops[0].Kind == engine.OpStatus {
 				h.requests.Add(1)
 			}
-			return []engine.Outcome{{Report: replicaset.Status{Role: m.Role, Term: 1, Received: session.Point{Term: 1, Position: 7}}}}, nil
+			term := session.Term(1)
+			if m.Role == replicaset.Replica {
+				term = session.Term(h.term.Load())
+			}
+			return []engine.Outcome{{Report: replicaset.Status{Role: m.Role, Term: term, Received: session.Point{Term: 1, Position: 7}}}}, nil
 		}}, nil
 	}
 	d := &engine.Declared{Version: 1, Groups: make(map[session.Group]engine.GroupPolicy), Databases: make(map[string]engine.Database)}
@@ -110,6 +121,159 @@
 	}
 }
 
+// seconds runs some seconds, and leaves what runs in the background the time to end.
+func (h *costHost) seconds(n int, sessions []*engine.CallerSession) {
+	for range n * maintenancePerSecond {
+		h.elapsed.Add(int64(time.Second) / maintenancePerSecond)
+		h.Maintain()
+		time.Sleep(time.Millisecond)
+	}
+	for _, s := range sessions {
+		s.Run(engine.Statement{ID: "1", Kind: engine.Read, Text: "READ 7"})
+	}
+}
+
+// reset sets the counts to zero.
+func (h *costHost) reset() {
+	for _, c := range []*atomic.Int64{&h.lookups, &h.looks, &h.requests, &h.fetches, &h.preconnects} {
+		c.Store(0)
+	}
+}
+
+// held returns how many endpoints the host holds, and how many of these are primaries.
+func (h *costHost) held(groups int) (endpoints, primaries int64) {
+	for i := range groups {
+		for _, m := range h.Group(groupName(i)).Members() {
+			if h.ring.Holds(m, 57) {
+				endpoints++
+				if m.Role == replicaset.Primary {
+					primaries++
+				}
+			}
+		}
+	}
+	return endpoints, primaries
+}
+
+// TestWorkFollowsDemand guards against work for each endpoint of the fleet: a host looked at all
+// of them five times a second, opened links to all holders, and asked the endpoints that it holds
+// twice a second although no host borrowed.
+func TestWorkFollowsDemand(t *testing.T) {
+	const span = 20
+	for _, c := range []struct{ hosts, groups, clients int }{{30, 32, 0}, {300, 320, 0}, {300, 320, 8}} {
+		t.Run(fmt.Sprintf("hosts=%d/groups=%d/clients=%d", c.hosts, c.groups, c.clients), func(t *testing.T) {
+			h := newCostHost(c.hosts, c.groups)
+			sessions := h.open(c.clients)
+			h.seconds(5, sessions)
+			h.reset()
+			h.seconds(span, sessions)
+			endpoints, primaries := h.held(c.groups)
+			// A group that is held or used is looked at each time: up to three members, and
+			// a list of lenders for each pool and each link. All groups are looked at each
+			// 10 s.
+			perLook := int64(span * maintenancePerSecond)
+			groups := endpoints + int64(c.clients)
+			if n, most := h.looks.Load(), perLook*3*groups+3*3*int64(c.groups); n > most {
+				t.Errorf("%d looks at endpoints in %d s, want at most %d", n, span, most)
+			}
+			if n, most := h.lookups.Load(), perLook*6*groups; n > most {
+				t.Errorf("%d lists of lenders in %d s, want at most %d", n, span, most)
+			}
+			// A primary that is held is asked each 5 s, with one of its replicas and once
+			// more for its position at most.
+			if n, most := h.requests.Load(), primaries*3*(span/5+1); n > most {
+				t.Errorf("%d status requests in %d s with %d held primaries, want at most %d", n, span, primaries, most)
+			}
+			if n := h.preconnects.Load(); (n > 0) != (c.clients > 0) || n > perLook*3*int64(c.clients) {
+				t.Errorf("%d links were wanted with %d clients", n, c.clients)
+			}
+		})
+	}
+}
+
+// TestLinksFollowClients guards against a first statement that waits for a link: the links of a
+// group are opened when its first client connects, and no more once the last one has left.
+func TestLinksFollowClients(t *testing.T) {
+	h := newCostHost(300, 320)
+	h.seconds(1, nil)
+	s := h.open(1)[0]
+	for end := time.Now().Add(5 * time.Second); h.preconnects.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no link is opened for a client that has connected")
+		}
+	}
+	s.Close()
+	h.seconds(1, nil)
+	h.reset()
+	h.seconds(1, nil)
+	if n := h.preconnects.Load(); n > 0 {
+		t.Errorf("%d links are wanted without a client", n)
+	}
+}
+
+// TestHolderIsFoundWithoutDemand guards against endpoints without holders: if the two holders of
+// an endpoint go down, the next host prepares for borrowers although it never used the group.
+func TestHolderIsFoundWithoutDemand(t *testing.T) {
+	h := newCostHost(300, 320)
+	h.ring.OnChange = h.HostsChanged
+	h.seconds(1, nil)
+	held, _ := h.held(320)
+	for i := 3; i < 300; i += 3 {
+		h.ring.MarkDown(fmt.Sprintf("10.0.%d.%d:9", i/256, i%256))
+	}
+	h.requests.Store(0)
+	h.seconds(1, nil)
+	now, _ := h.held(320)
+	open := make(map[replicaset.EndpointID]bool)
+	h.ReportConnections(func(_ session.Group, id replicaset.EndpointID, n, _, _ int) {
+		if n > 0 {
+			open[id] = true
+		}
+	})
+	if now != 320 || int64(len(open)) != now {
+		t.Errorf("this host held %d endpoints, is left with all %d of its zone, and has connections to %d", held, now, len(open))
+	}
+}
+
+// TestLapseWithoutDemand guards against a primary that stays although its registration has lapsed,
+// in a group that nobody uses and this host doesn't hold.
+func TestLapseWithoutDemand(t *testing.T) {
+	h := newCostHost(300, 320)
+	h.seconds(1, nil)
+	for i := range 320 {
+		h.Group(groupName(i)).Deregister(h.BootTime(), primaryOf(groupName(i)))
+	}
+	h.FailoverChecks.Take()
+	h.seconds(3, nil)
+	for i := range 320 {
+		if _, ok := h.Group(groupName(i)).Member(primaryOf(groupName(i))); ok {
+			t.Fatalf("the primary of %s is still a member 3 s after its registration lapsed", groupName(i))
+		}
+	}
+	if n := h.FailoverChecks.Len(); n != 320 {
+		t.Errorf("%d groups are due for a check of the failover manager, want 320", n)
+	}
+}
+
+// TestUnrecordedPromotionWithoutDemand guards against a promotion that nobody sees: the store has
+// no record of it, no client asks, and no host borrows.
+func TestUnrecordedPromotionWithoutDemand(t *testing.T) {
+	h := newCostHost(30, 32)
+	h.seconds(10, nil)
+	_, primaries := h.held(32)
+	h.term.Store(2)
+	h.seconds(6, nil)
+	seen := int64(0)
+	for i := range 32 {
+		if h.Group(groupName(i)).Superseded() {
+			seen++
+		}
+	}
+	if seen != primaries || seen == 0 {
+		t.Errorf("a holder sees the later term of %d groups, want the %d whose primary it holds", seen, primaries)
+	}
+}
+
 // BenchmarkHostSecond measures what a host of the fleet does in one second, besides its
 // network: the maintenance, and one read by each of its clients.
 func BenchmarkHostSecond(b *testing.B) {
@@ -120,10 +284,7 @@
 			for range 5 {
 				h.second(sessions)
 			}
-			h.lookups.Store(0)
-			h.requests.Store(0)
-			h.fetches.Store(0)
-			h.preconnects.Store(0)
+			h.reset()
 			b.ReportAllocs()
 			b.ResetTimer()
 			for b.Loop() {
@@ -131,6 +292,7 @@
 			}
 			n := float64(b.N)
 			b.ReportMetric(float64(h.lookups.Load())/n, "lookups/op")
+			b.ReportMetric(float64(h.looks.Load())/n, "looks/op")
 			b.ReportMetric(float64(h.requests.Load())/n, "requests/op")
 			b.ReportMetric(float64(h.fetches.Load())/n, "fetches/op")
 			b.ReportMetric(float64(h.preconnects.Load())/n, "preconnects/op")
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/internal/agenda"
 	"github.com/cumintrestle/cumintrestle/internal/guard"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -34,6 +35,9 @@
 	// lend them to the others. holders is 0 if each host holds its own
 	// connections.
 	Lenders func(m replicaset.Member, maxConnections int) (addresses []string, holders int)
+	// Holds, if set, reports whether this host is one of the holders that Lenders returns. It
+	// is for looks at endpoints that this host need not use.
+	Holds func(m replicaset.Member, maxConnections int) bool
 	// Detours, if set, returns the hosts to ask for a connection to an endpoint
 	// that this host cannot reach, in order of preference.
 	Detours func(m replicaset.Member) (addresses []string)
@@ -55,11 +59,22 @@
 	// Event receives each decision; it must not block.
 	Event func(Event)
 
+	// FailoverChecks, MembershipChecks and ConfirmationChecks have the groups that are due
+	// for a check of the failover manager.
+	FailoverChecks, MembershipChecks, ConfirmationChecks agenda.Agenda[*replicaset.Set]
+
+	// upkeep has the groups that Maintain looks at next.
+	upkeep agenda.Agenda[*group]
+	demand demand
+
 	declared atomic.Pointer[Declared]
 
 	mu     sync.Mutex
 	groups map[session.Group]*group
 	hosts  int
+	// wasBlind is what the groups were last told of the store.
+	wasBlind bool
+	sweptAt  replicaset.Instant
 }
 
 // Event is one decision about a statement, an endpoint or the primary of a
@@ -98,6 +113,9 @@
 	refreshing *sharedCall
 	// checking is the round of requests for the positions of the replicas, if any.
 	checking *sharedCall
+	// usedAt is when a connection to a member was last asked for, and watchedAt when this
+	// host last asked for a proof and a position as a holder.
+	usedAt, watchedAt replicaset.Instant
 	// resuming has the replicas that are being resumed because a switch left them paused.
 	resuming map[replicaset.EndpointID]bool
 }
@@ -136,6 +154,7 @@
 	e.declared.Store(d)
 	for name, g := range e.groups {
 		g.setPolicy(d.Groups[name], e.hosts)
+		e.checkAll(g)
 	}
 	return true
 }
@@ -163,6 +182,8 @@
 	}
 	g = &group{Set: replicaset.New(name, e.Zone), pools: make(map[replicaset.EndpointID]*pool)}
 	g.Regions = e.Regions
+	g.OnChange = func(c replicaset.Change) { e.noteChange(g, c) }
+	g.SetBlind(e.wasBlind)
 	if d := e.declared.Load(); d != nil {
 		g.policy = d.Groups[name]
 	}
@@ -170,6 +191,7 @@
 		e.groups = make(map[session.Group]*group)
 	}
 	e.groups[name] = g
+	e.checkAll(g)
 	return g
 }
 
@@ -211,25 +233,6 @@
 	return ok
 }
 
-// Maintain removes members whose registration has expired, closes surplus
-// connections and prepares for borrowing hosts. It must be called a few times a
-// second.
-func (e *Engine) Maintain() {
-	now := e.BootTime()
-	blind := e.blind()
-	for _, g := range e.allGroups() {
-		g.SetBlind(blind)
-		for _, id := range g.Expire(now) {
-			g.dropPool(id)
-		}
-		for _, p := range g.allPools() {
-			e.updateShare(p)
-			p.trim()
-		}
-		e.prepareForBorrowers(g, now)
-	}
-}
-
 // blind reports whether this host does not hear from the store.
 func (e *Engine) blind() bool { return e.StoreLost != nil && e.StoreLost() }
 
@@ -255,8 +258,10 @@
 	e.mu.Lock()
 	hosts := e.hosts
 	e.mu.Unlock()
+	e.upkeep.Add(g)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.usedAt = e.BootTime()
 	p, ok := g.pools[m.ID]
 	if ok && (p.member.Started != m.Started || p.member.Address != m.Address) {
 		go p.close()
--- a/internal/engine/fresh.go
+++ b/internal/engine/fresh.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -42,43 +41,15 @@
 }
 
 // inDemand reports whether another host borrowed a connection within
-// demandWindow. It is also true before the first loan, so that the first
-// borrower finds a proof and a position.
+// demandWindow. The first look counts as a loan, so that the first borrower after
+// a start finds a proof and a position.
 func (p *pool) inDemand(now replicaset.Instant) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.borrowedAt == 0 || now.Sub(p.borrowedAt) < demandWindow
-}
-
-// prepareForBorrowers renews what borrowing hosts need from this one, and opens
-// connections ahead of their demand. For members whose connections other hosts
-// hold, it opens the link to the first of those hosts. Hosts that each hold
-// their own connections learn proofs and positions from their own statements.
-func (e *Engine) prepareForBorrowers(g *group, now replicaset.Instant) {
-	if e.Lenders == nil {
-		return
-	}
-	wanted := false
-	for _, m := range g.Members() {
-		lenders, holders := e.Lenders(m, g.maxConnections())
-		if holders == 0 {
-			continue
-		}
-		if !slices.Contains(lenders[:holders], "") {
-			if e.Preconnect != nil {
-				e.Preconnect(lenders[0])
-			}
-			continue
-		}
-		p := e.pool(g, m)
-		if p.reservePrewarm() {
-			e.spawn("prewarm connection", p.prewarm)
-		}
-		wanted = wanted || p.inDemand(now)
-	}
-	if wanted {
-		e.startRefresh(g)
+	if p.borrowedAt == 0 {
+		p.borrowedAt = now
 	}
+	return now.Sub(p.borrowedAt) < demandWindow
 }
 
 // startRefresh starts a refresh of proof and log position, or returns the one in
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -23,6 +23,8 @@
 	stateSize int
 	state     TxState
 	tx        *transaction
+	// attended is the group that the session counts as a client of.
+	attended session.Group
 }
 
 // maxSessionState bounds the names, values and prepared statements of one session, in bytes.
@@ -66,7 +68,9 @@
 	if !ok {
 		return nil, Outcome{Code: UnknownDatabase, Reason: database}
 	}
-	return &CallerSession{e: e, database: database, db: db}, Outcome{}
+	s := &CallerSession{e: e, database: database, db: db}
+	s.attend(db.Group)
+	return s, Outcome{}
 }
 
 // State returns the transaction state between two statements.
@@ -89,6 +93,7 @@
 
 // Close ends the session and rolls back an open transaction.
 func (s *CallerSession) Close() {
+	s.attend("")
 	if s.tx != nil {
 		s.endTransaction()
 	}
@@ -167,6 +172,7 @@
 	db, ok := s.e.declared.Load().Databases[s.database]
 	if ok {
 		s.db = db
+		s.attend(db.Group)
 	}
 	return ok
 }
--- a/internal/lending/lenders.go
+++ b/internal/lending/lenders.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
 // maxListed is how many hosts a list of lenders has. A call is sent to the first two at most, and
@@ -73,7 +75,8 @@
 // dropRankings drops the rankings that a new list of hosts changes. A host that joins or leaves
 // changes only the rankings of its zone, and those across zones.
 func (r *Ring) dropRankings(next []Peer) {
-	before, after := peersByZone(r.peers), peersByZone(next)
+	before, after := r.byZone, peersByZone(next)
+	r.byZone = after
 	maps.DeleteFunc(r.rankings, func(k rankingKey, _ []Peer) bool {
 		return k.zone == "" || len(before[k.zone]) == 0 || !slices.Equal(before[k.zone], after[k.zone])
 	})
@@ -86,3 +89,38 @@
 	}
 	return zones
 }
+
+// Holds reports whether this host is one of the holders that Lenders returns. For an endpoint
+// that Lenders is not asked about, it ranks no hosts: it stops at the second host that is up and
+// ranks before this one.
+func (r *Ring) Holds(m replicaset.Member, maxConnections int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if maxConnections == 0 || len(r.peers) < 2 {
+		return false
+	}
+	k := rankingKey{zone: m.Zone, key: m.ID}
+	if _, ok := r.lenders[k]; ok || m.Zone == "" {
+		l := r.lenderList(k)
+		return slices.Contains(l.orders[0][:l.holders], "")
+	}
+	peers := r.byZone[m.Zone]
+	if len(peers) == 0 {
+		peers = r.peers
+	}
+	self := slices.IndexFunc(peers, func(p Peer) bool { return p.Name == r.Self })
+	if self < 0 {
+		return false
+	}
+	now, own, before := r.Now(), score(peers[self], m.ID), 0
+	for i, p := range peers {
+		// Hosts of equal score rank in the order of the list.
+		if s := score(p, m.ID); i == self || s < own || s == own && i > self || now.Before(r.down[p.Address].until) {
+			continue
+		}
+		if before++; before == holdersPerEndpoint {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/lending/lenders_test.go
+++ b/internal/lending/lenders_test.go
@@ -44,7 +44,7 @@
 	now := time.Unix(100, 0)
 	all := make([]Peer, 40)
 	for i := range all {
-		all[i] = Peer{Name: fmt.Sprintf("h-%d", i), Zone: fmt.Sprintf("z-%d", i%2), Address: fmt.Sprintf("a-%d", i), Weight: 0.1 + float64(i%3)}
+		all[i] = Peer{Name: fmt.Sprintf("h-%d", i), Zone: fmt.Sprintf("z-%d", i%2), Address: fmt.Sprintf("a-%d", i), Weight: 0.1 + float64((i+2)%3)}
 	}
 	for seed := range uint64(20) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
@@ -66,12 +66,16 @@
 			fresh := &Ring{Self: r.Self, Zone: r.Zone, Now: r.Now, down: maps.Clone(r.down)}
 			fresh.Set(r.peers)
 			for _, zone := range []string{"z-0", "z-1", "nowhere"} {
-				m := replicaset.Member{ID: "m", Zone: zone}
+				m := replicaset.Member{ID: replicaset.EndpointID(fmt.Sprint("m", seed)), Zone: zone}
+				heldUnasked := fresh.Holds(m, 9)
 				got, holders := r.Lenders(m, 9)
 				want, wantHolders := fresh.Lenders(m, 9)
 				if !slices.Equal(got, want) || holders != wantHolders {
 					t.Fatalf("seed %d, step %d, %s: the kept list is %v (%d), want %v (%d)", seed, step, zone, got, holders, want, wantHolders)
 				}
+				if holds := slices.Contains(got[:holders], ""); r.Holds(m, 9) != holds || heldUnasked != holds {
+					t.Fatalf("seed %d, step %d, %s: Holds is %t before and %t after the list %v", seed, step, zone, heldUnasked, r.Holds(m, 9), got)
+				}
 			}
 		}
 	}
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -69,9 +69,14 @@
 	// its own.
 	Regions map[string]string
 	Now     func() time.Time
+	// OnChange, if set, is called when this host may have become a holder: the list of
+	// hosts has changed, or a host was marked down.
+	OnChange func()
 
 	mu    sync.Mutex
 	peers []Peer
+	// byZone has the hosts of each zone.
+	byZone map[string][]Peer
 	// down holds the hosts that did not answer, by address.
 	down map[string]downState
 	// rankings caches the rankings of the hosts in the list.
@@ -90,19 +95,34 @@
 
 // Set replaces the list of hosts.
 func (r *Ring) Set(peers []Peer) {
+	if r.replace(peers) && r.OnChange != nil {
+		r.OnChange()
+	}
+}
+
+// replace replaces the list of hosts and reports whether it differs.
+func (r *Ring) replace(peers []Peer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if slices.Equal(r.peers, peers) {
-		return
+		return false
 	}
 	r.dropRankings(peers)
 	r.peers = append(r.peers[:0], peers...)
 	r.lenders = nil
+	return true
 }
 
 // MarkDown marks a host that did not answer as down. It has no effect while the host is
 // still being skipped for an earlier failure.
 func (r *Ring) MarkDown(address string) {
+	if r.skip(address) && r.OnChange != nil {
+		r.OnChange()
+	}
+}
+
+// skip marks a host as down and reports whether it was not before.
+func (r *Ring) skip(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down == nil {
@@ -111,12 +131,13 @@
 	now := r.Now()
 	a := r.down[address]
 	if now.Before(a.until) {
-		return
+		return false
 	}
 	a.backoff = min(max(2*a.backoff, minDownTime), maxDownTime)
 	a.until = now.Add(a.backoff)
 	r.down[address] = a
 	r.lenders = nil
+	return true
 }
 
 // MarkUp clears the backoff of a host that answered.
--- a/internal/replicaset/lost.go
+++ b/internal/replicaset/lost.go
@@ -60,6 +60,7 @@
 		s.lost = make(map[incarnation]*lostReplica)
 	}
 	s.lost[m.incarnation()] = &lostReplica{Member: m, loss: l}
+	s.report(StateChanged)
 }
 
 // RecordWrongEndpoint records that another endpoint answered at a member's address. Addresses
--- a/internal/replicaset/membership.go
+++ b/internal/replicaset/membership.go
@@ -56,6 +56,7 @@
 		}
 	}
 	s.findLosses(now, recorded)
+	s.report(StateChanged)
 }
 
 // dropStruckOff forgets lost replicas that were recorded and are not any more: another host
@@ -88,6 +89,7 @@
 	defer s.mu.Unlock()
 	if s.membershipAt.Less(at) {
 		s.membershipAt, s.recorded, s.recordTrusted = revision.Revision{}, nil, false
+		s.report(StateChanged)
 	}
 }
 
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -205,6 +205,7 @@
 		}
 		m.overloadedAt = now
 		m.busyUntil = now.Add(busyTime)
+		s.reportWork(id)
 	}
 }
 
@@ -252,6 +253,7 @@
 	if m, ok := s.members[id]; ok {
 		if m.inFlight == 0 {
 			m.unansweredSince = now
+			s.reportWork(id)
 		}
 		m.inFlight++
 	}
@@ -272,6 +274,7 @@
 	}
 	if !answered {
 		m.recordFailure(now)
+		s.reportWork(id)
 		return
 	}
 	s.noteAnswer(now, m)
@@ -297,6 +300,7 @@
 	defer s.mu.Unlock()
 	if m, ok := s.members[id]; ok {
 		m.recordFailure(now)
+		s.reportWork(id)
 	}
 }
 
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -70,6 +70,9 @@
 	Zone string
 	// Regions maps each zone to its region. A zone without an entry is a region of its own.
 	Regions map[string]string
+	// OnChange, if set, is called for each event that a periodic check may have to act on. The
+	// set is locked meanwhile: it must not use the set, nor wait for anything.
+	OnChange func(Change)
 
 	mu      sync.Mutex
 	members map[EndpointID]*memberState
@@ -128,6 +131,7 @@
 func (s *Set) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
+	s.report(StateChanged)
 }
 
 // Register adds or updates a member.
@@ -174,6 +178,7 @@
 	defer s.mu.Unlock()
 	if m, ok := s.members[id]; ok && m.removedAt == 0 {
 		m.removedAt = now
+		s.report(StateChanged)
 	}
 }
 
@@ -268,6 +273,7 @@
 	defer s.mu.Unlock()
 	if s.unreadableAt == 0 {
 		s.unreadableAt = now
+		s.report(StateChanged)
 	}
 }
 
@@ -315,7 +321,10 @@
 func (s *Set) ReportTerm(t session.Term) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reportedTerm = max(s.reportedTerm, t)
+	if t > s.reportedTerm {
+		s.reportedTerm = t
+		s.report(WorkChanged)
+	}
 }
 
 // Superseded reports whether a member is in a later term than the recorded primary, so that
@@ -396,6 +405,7 @@
 		s.stuckSince = 0
 	} else if s.stuckSince == 0 {
 		s.stuckSince = now
+		s.report(WorkChanged)
 	}
 }
 
