Failover manager: check the groups that are due

Cause: the manager looked at all groups each 60 ms for a suspicion and for an unconfirmed record, and proposed a membership record for all of them twice a second, also if nothing had happened for hours.

Change: the three checks take the groups from agendas that the engine fills: each change of a group's members, leadership, records or losses makes it due for all three; a statement to the primary, a failure, an overload or a report of a later term for failover only. A group stays due while time alone may give a reason (Set.Unsettled: the primary is missing, draining, silent, stuck or overloaded, a switch is under way, a record is outdated or unreadable, a member is in a later term; a pending membership; an unconfirmed record). A new or opened era makes all groups due. If nothing is due, the manager wakes up once a second.

The reasons for a suspicion and what follows from them are unchanged, as are the 60 ms between two looks at a group that gives one.

--- a/internal/engine/upkeep.go
+++ b/internal/engine/upkeep.go
@@ -30,9 +30,7 @@
 	e.updateBlind()
 	if now.Sub(e.sweptAt) >= sweepInterval {
 		e.sweptAt = now
-		for _, g := range e.allGroups() {
-			e.checkAll(g)
-		}
+		e.CheckAll()
 	}
 	for _, g := range e.upkeep.Take() {
 		if e.maintainGroup(g, now) {
@@ -49,6 +47,13 @@
 	}
 }
 
+// CheckAll makes all groups due for all checks.
+func (e *Engine) CheckAll() {
+	for _, g := range e.allGroups() {
+		e.checkAll(g)
+	}
+}
+
 // checkAll makes a group due for all checks.
 func (e *Engine) checkAll(g *group) { e.noteChange(g, replicaset.StateChanged) }
 
--- a/internal/failover/confirm.go
+++ b/internal/failover/confirm.go
@@ -17,9 +17,13 @@
 // since a member did not report. Without a record that proves the lead, a chain of commit proofs
 // that has broken is never begun again.
 func (m *Manager) checkUnconfirmed(ctx context.Context) {
-	for _, set := range m.Engine.Groups() {
+	for _, set := range m.Engine.ConfirmationChecks.Take() {
 		lead := set.Lead()
-		if lead.ID == "" || lead.Switching || !m.beginConfirm(set.Name, lead) {
+		if lead.ID == "" || !m.unconfirmed(set.Name, lead) {
+			continue
+		}
+		m.Engine.ConfirmationChecks.Add(set)
+		if lead.Switching || !m.beginConfirm(set.Name, lead) {
 			continue
 		}
 		m.wg.Add(1)
@@ -30,6 +34,13 @@
 	}
 }
 
+// unconfirmed reports whether the era is open and the record of a group does not prove its lead.
+func (m *Manager) unconfirmed(g session.Group, lead replicaset.Lead) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era.unconfirmed(g, lead)
+}
+
 // beginConfirm reports whether a group is to be confirmed now.
 func (m *Manager) beginConfirm(g session.Group, lead replicaset.Lead) bool {
 	m.mu.Lock()
--- a/internal/failover/era.go
+++ b/internal/failover/era.go
@@ -78,6 +78,13 @@
 	return s.known && s.openedAt == 0 && !s.opening && now >= s.openAt
 }
 
+// eraPending reports whether this host has seen an era that is not open yet.
+func (m *Manager) eraPending() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era.known && m.era.openedAt == 0
+}
+
 // checkEra opens the store's era in the background once no earlier lease can be in force.
 func (m *Manager) checkEra(ctx context.Context) {
 	m.mu.Lock()
--- a/internal/failover/membership.go
+++ b/internal/failover/membership.go
@@ -54,30 +54,34 @@
 	}
 }
 
-// checkMemberships checks the records of all groups, at most once in membershipCheckInterval.
+// checkMemberships checks the records of the groups that are due, at most once in
+// membershipCheckInterval.
 func (m *Manager) checkMemberships(ctx context.Context) {
 	now := m.Engine.BootTime()
 	if now < m.nextMembershipCheck {
 		return
 	}
 	m.nextMembershipCheck = now.Add(membershipCheckInterval)
-	for _, set := range m.Engine.Groups() {
-		m.checkMembership(ctx, set)
+	for _, set := range m.Engine.MembershipChecks.Take() {
+		if m.checkMembership(ctx, set) {
+			m.Engine.MembershipChecks.Add(set)
+		}
 	}
 }
 
 // checkMembership starts an update of the group's membership record in the background if one
-// is due.
-func (m *Manager) checkMembership(ctx context.Context, set *replicaset.Set) {
+// is due. It reports whether one is or may become due without a further change of the group.
+func (m *Manager) checkMembership(ctx context.Context, set *replicaset.Set) bool {
 	now := m.Engine.BootTime()
 	if !m.Engine.Policy(set.Name).Synchronous || set.Lead().ID == "" {
-		return
+		return false
 	}
-	if _, differs := set.ProposeMembership(now); set.MissingReplicas() == 0 && !(differs && m.eraOpen()) {
-		return
+	_, differs := set.ProposeMembership(now)
+	if set.MissingReplicas() == 0 && !(differs && m.eraOpen()) {
+		return differs || set.Lapsing()
 	}
 	if !m.beginUpdate(set.Name, now) {
-		return
+		return true
 	}
 	m.wg.Add(1)
 	go guard.Run("membership of "+string(set.Name), m.Engine.ReportPanic, func() {
@@ -85,6 +89,7 @@
 		defer m.endUpdate(set.Name)
 		m.updateMembership(ctx, set)
 	})
+	return true
 }
 
 // beginUpdate marks an update as in progress. It returns false if one is, or if the last one
