Links to lenders: wake up for calls only, and keep the wanted ones

Cause: each link woke its host up each 400 ms to see whether a call was pending: 160 times a second with the 64 links that a host may open ahead. An unused link was closed after a minute, which reported its lender as down for 1.5 s, and opened again at the next maintenance.

Change: keepalive waits for a call, and pings each 400 ms only while one is pending. A link without calls wakes up once a minute: it is pinged if Preconnect has asked for it within 10 s, since clients are connected that may use it, and closed otherwise. Closing it does not report the lender as down, and a call in that moment is told that it was not sent, where before it could end in doubt.

Measured: in TestIdleLinkWakesUpOnce, an idle link waits for the rest of its minute (before: 400 ms). The wake-ups of a whole host were not measured.

Seen red: without the watch of a call (it ended after 8.2 s instead of 1.2 s), with a watch that does not end, an idle interval of 400 ms, the report of a lender as down, wanted links closed, unused ones kept.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -29,7 +29,8 @@
 	responseMargin = 150 * time.Millisecond
 	// maxPreconnectedLinks is the number of open links from which Preconnect opens no more.
 	maxPreconnectedLinks = 64
-	// linkIdleTimeout is how long a link may carry no call before it is closed.
+	// linkIdleTimeout is how long a link may carry no call before it is closed, or pinged if
+	// Preconnect has asked for it.
 	linkIdleTimeout = time.Minute
 )
 
@@ -54,6 +55,8 @@
 	// panic in a goroutine of a link.
 	OnMalformed func(from string, err error)
 	OnPanic     guard.Report
+	// IdleTimeout, if set, replaces linkIdleTimeout.
+	IdleTimeout time.Duration
 
 	mu sync.Mutex
 	// links holds the open links and those being opened, by address.
@@ -78,6 +81,14 @@
 	pending  map[uint64]chan response
 	lastSeq  uint64
 	lastUsed time.Time
+	// wantedAt is when Preconnect last asked for the link.
+	wantedAt time.Time
+	// unused is set if the link is closed because nobody uses it.
+	unused bool
+	// watched is set while keepalive waits for pingInterval, because of a call.
+	watched bool
+	// called receives a value if a call is sent while the link is not watched.
+	called chan struct{}
 	// loans holds the handles of the transactions that are open over this link.
 	loans map[uint64]struct{}
 }
@@ -151,12 +162,15 @@
 }
 
 // Preconnect opens a link to a lender ahead of demand, unless there are
-// maxPreconnectedLinks links already.
+// maxPreconnectedLinks links already, and keeps an open one from being closed as unused.
 func (b *Borrower) Preconnect(address string) {
 	b.mu.Lock()
-	n := len(b.links)
+	n, l := len(b.links), b.links[address]
 	b.mu.Unlock()
-	if n < maxPreconnectedLinks {
+	switch {
+	case l != nil:
+		l.want()
+	case n < maxPreconnectedLinks:
 		b.linkTo(address)
 	}
 }
@@ -233,7 +247,7 @@
 		if b.links == nil {
 			b.links = make(map[string]*link)
 		}
-		l = &link{b: b, address: address, ready: make(chan struct{}), pending: make(map[uint64]chan response), lastUsed: time.Now(), loans: make(map[uint64]struct{})}
+		l = &link{b: b, address: address, ready: make(chan struct{}), pending: make(map[uint64]chan response), lastUsed: time.Now(), called: make(chan struct{}, 1), loans: make(map[uint64]struct{})}
 		b.links[address] = l
 		go guard.Run("link to a lender", b.OnPanic, l.run)
 	}
@@ -274,14 +288,23 @@
 }
 
 // remove removes the link from the borrower, so that the next call opens another,
-// and reports the lender as down.
+// and reports the lender as down, unless the link was closed as unused.
 func (l *link) remove() {
+	l.forget()
+	l.mu.Lock()
+	unused := l.unused
+	l.mu.Unlock()
+	if !unused {
+		l.b.OnDown(l.address)
+	}
+}
+
+func (l *link) forget() {
 	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
 	if l.b.links[l.address] == l {
 		delete(l.b.links, l.address)
 	}
-	l.b.mu.Unlock()
-	l.b.OnDown(l.address)
 }
 
 // readLoop passes responses to the calls that wait for them. If a call has timed out
@@ -324,37 +347,6 @@
 	l.pending = nil
 }
 
-// keepalive closes the link when it has been idle for linkIdleTimeout, or when a
-// ping fails while calls are pending.
-func (l *link) keepalive() {
-	t := time.NewTicker(pingInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-t.C:
-		}
-		l.mu.Lock()
-		busy, idle := len(l.pending) > 0, time.Since(l.lastUsed)
-		l.mu.Unlock()
-		if idle > linkIdleTimeout {
-			l.cancel()
-			return
-		}
-		if !busy {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
-		err := l.ws.Ping(ctx)
-		cancel()
-		if err != nil {
-			l.cancel()
-			return
-		}
-	}
-}
-
 // call sends a request and waits for its response. If the deadline and
 // responseMargin pass without one, it returns errTimeout.
 func (l *link) call(deadline time.Time, q request) (response, error) {
@@ -367,6 +359,7 @@
 	l.lastSeq++
 	q.Seq, l.lastUsed = l.lastSeq, time.Now()
 	l.pending[q.Seq] = ch
+	l.watch()
 	l.mu.Unlock()
 	if err := l.send(q); err != nil {
 		// The lender cannot have run a request that it did not receive completely.
