Test of a first statement after both holders were lost unnoticed

TestHoldersLostWhileSilent: nobody used the group, this host has no links to its holders, and both are lost. The first statement asks both and is run over a connection of this host, the next one asks a host that is up.

--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -23,8 +23,10 @@
 	// elapsed is the time on the host's clocks, in ns.
 	elapsed atomic.Int64
 	// term is the term that replicas report.
-	term                                           atomic.Uint64
-	lookups, looks, requests, fetches, preconnects atomic.Int64
+	term                                                    atomic.Uint64
+	lookups, looks, requests, fetches, preconnects, borrows atomic.Int64
+	// lost has the hosts that don't answer.
+	lost map[string]bool
 }
 
 // newCostHost returns a host of a fleet in which the given number of groups have an
@@ -52,7 +54,34 @@
 	}
 	h.Preconnect = func(string) { h.preconnects.Add(1) }
 	h.EndLoan = func(string, uint64) {}
-	h.Borrow = func(string, replicaset.Member, uint64, engine.Call) (engine.RemoteResult, error) {
+	h.connect()
+	d := &engine.Declared{Version: 1, Groups: make(map[session.Group]engine.GroupPolicy), Databases: make(map[string]engine.Database)}
+	for i := range groups {
+		g := groupName(i)
+		d.Groups[g] = engine.GroupPolicy{MaxConnections: 57, Synchronous: true}
+		d.Databases[string(g)] = engine.Database{Group: g, Consistency: engine.Bounded, MaxAge: 1500 * time.Millisecond, StatementTimeout: 2 * time.Second}
+	}
+	h.Apply(d)
+	for i := range groups {
+		h.register(groupName(i))
+	}
+	return h
+}
+
+// connect sets what the host sends to other hosts and to endpoints.
+func (h *costHost) connect() {
+	h.Borrow = func(address string, m replicaset.Member, _ uint64, call engine.Call) (engine.RemoteResult, error) {
+		status := call.Ops[0].Kind == engine.OpStatus
+		if !status {
+			h.borrows.Add(1)
+		}
+		if h.lost[address] {
+			h.ring.MarkDown(address)
+			return engine.RemoteResult{}, engine.NotSent(engine.ErrLenderUnavailable)
+		}
+		if status {
+			return engine.RemoteResult{Outcomes: []engine.Outcome{{Report: h.status(m)}}}, nil
+		}
 		return engine.RemoteResult{Outcomes: []engine.Outcome{{Rows: []string{"x"}, Digest: "d", Point: session.Point{Term: 1, Position: 7}}}}, nil
 	}
 	h.FetchKnowledge = func(_ string, g session.Group, _ time.Time) (replicaset.Knowledge, error) {
@@ -64,24 +93,18 @@
 			if ops[0].Kind == engine.OpStatus {
 				h.requests.Add(1)
 			}
-			term := session.Term(1)
-			if m.Role == replicaset.Replica {
-				term = session.Term(h.term.Load())
-			}
-			return []engine.Outcome{{Report: replicaset.Status{Role: m.Role, Term: term, Received: session.Point{Term: 1, Position: 7}}}}, nil
+			return []engine.Outcome{{Report: h.status(m)}}, nil
 		}}, nil
 	}
-	d := &engine.Declared{Version: 1, Groups: make(map[session.Group]engine.GroupPolicy), Databases: make(map[string]engine.Database)}
-	for i := range groups {
-		g := groupName(i)
-		d.Groups[g] = engine.GroupPolicy{MaxConnections: 57, Synchronous: true}
-		d.Databases[string(g)] = engine.Database{Group: g, Consistency: engine.Bounded, MaxAge: 1500 * time.Millisecond, StatementTimeout: 2 * time.Second}
-	}
-	h.Apply(d)
-	for i := range groups {
-		h.register(groupName(i))
+}
+
+// status returns what an endpoint reports.
+func (h *costHost) status(m replicaset.Member) replicaset.Status {
+	term := session.Term(1)
+	if m.Role == replicaset.Replica {
+		term = session.Term(h.term.Load())
 	}
-	return h
+	return replicaset.Status{Role: m.Role, Term: term, Received: session.Point{Term: 1, Position: 7}}
 }
 
 func groupName(i int) session.Group { return session.Group(fmt.Sprintf("g-%d", i)) }
@@ -135,7 +158,7 @@
 
 // reset sets the counts to zero.
 func (h *costHost) reset() {
-	for _, c := range []*atomic.Int64{&h.lookups, &h.looks, &h.requests, &h.fetches, &h.preconnects} {
+	for _, c := range []*atomic.Int64{&h.lookups, &h.looks, &h.requests, &h.fetches, &h.preconnects, &h.borrows} {
 		c.Store(0)
 	}
 }
@@ -235,6 +258,35 @@
 	}
 }
 
+// TestHoldersLostWhileSilent guards against a first statement that fails: both holders of an
+// endpoint were lost while nobody used its group, and this host has no link that would have told
+// it. The statement is run by this host itself, and the next one by a host that is up.
+func TestHoldersLostWhileSilent(t *testing.T) {
+	h := newCostHost(300, 320)
+	h.seconds(60, nil)
+	i := 0
+	for m, _ := h.Group(groupName(i)).Member(primaryOf(groupName(i))); h.ring.Holds(m, 57); m, _ = h.Group(groupName(i)).Member(primaryOf(groupName(i))) {
+		i++
+	}
+	s, _ := h.Open(string(groupName(i)))
+	h.lost = make(map[string]bool)
+	for _, m := range h.Group(groupName(i)).Members() {
+		lenders, holders := h.ring.Lenders(m, 57)
+		for _, a := range lenders[:holders] {
+			h.lost[a] = true
+		}
+	}
+	for n, want := range []int64{2, 1} {
+		h.borrows.Store(0)
+		if o := s.Run(engine.Statement{ID: "1", Kind: engine.Read, Text: "READ 7"}); o.Code != engine.Done {
+			t.Errorf("statement %d ends with %s: %s", n+1, o.Code, o.Reason)
+		}
+		if asked := h.borrows.Load(); asked != want {
+			t.Errorf("statement %d: %d hosts were asked, want %d", n+1, asked, want)
+		}
+	}
+}
+
 // TestLapseWithoutDemand guards against a primary that stays although its registration has lapsed,
 // in a group that nobody uses and this host doesn't hold.
 func TestLapseWithoutDemand(t *testing.T) {
