Readiness without a list of all groups; pools after SetHosts

Cause: a host made a list of all groups five times a second to know that there is one. SetHosts gives all pools an equal share of the connections, which Maintain replaces by that of a holder; since maintenance by demand it did so only in groups that were due anyway.

Change: Engine.HasGroups. SetHosts makes the groups with pools due.

TestShareAfterHostsChange was red without the second part (14 lists of lenders after the number was set, as before).

--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -303,6 +303,25 @@
 	}
 }
 
+// TestShareAfterHostsChange guards against a pool that keeps an equal share of the connections
+// after the number of hosts was set, in a group that is not due otherwise.
+func TestShareAfterHostsChange(t *testing.T) {
+	h := newCostHost(300, 320)
+	s := h.open(1)[0]
+	h.seconds(1, []*engine.CallerSession{s})
+	s.Close()
+	h.seconds(30, nil)
+	h.lookups.Store(0)
+	h.Maintain()
+	before := h.lookups.Load()
+	h.SetHosts(299)
+	h.lookups.Store(0)
+	h.Maintain()
+	if after := h.lookups.Load(); after <= before {
+		t.Errorf("%d lists of lenders after the number of hosts was set, %d before; the pools of the group are not looked at", after, before)
+	}
+}
+
 // TestLapseWithoutDemand guards against a primary that stays although its registration has lapsed,
 // in a group that nobody uses and this host doesn't hold.
 func TestLapseWithoutDemand(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -166,7 +166,9 @@
 	defer e.mu.Unlock()
 	e.hosts = max(n, 1)
 	for _, g := range e.groups {
-		g.setPolicy(g.policy, e.hosts)
+		if g.setPolicy(g.policy, e.hosts) {
+			e.upkeep.Add(g)
+		}
 	}
 }
 
@@ -195,6 +197,13 @@
 	return g
 }
 
+// HasGroups reports whether there are any groups.
+func (e *Engine) HasGroups() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.groups) > 0
+}
+
 // Groups returns all groups.
 func (e *Engine) Groups() []*replicaset.Set {
 	var all []*replicaset.Set
@@ -275,13 +284,16 @@
 	return p
 }
 
-func (g *group) setPolicy(policy GroupPolicy, hosts int) {
+// setPolicy sets the policy of a group and this host's equal share of the connections to its
+// endpoints, which Maintain replaces by that of a holder. It reports whether there are any.
+func (g *group) setPolicy(policy GroupPolicy, hosts int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.policy = policy
 	for _, p := range g.pools {
 		p.setShare(policy.MaxConnections, hosts)
 	}
+	return len(g.pools) > 0
 }
 
 // splitConnections divides an endpoint's connections among the hosts. share is
