--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cumintrestle/cumintrestle/internal/agenda"
 	"github.com/cumintrestle/cumintrestle/internal/guard"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -38,6 +39,9 @@
 	// lend them to the others. holders is 0 if each host holds its own
 	// connections.
 	Lenders func(m replicaset.Member, maxConnections int, a session.Account) (addresses []string, holders int)
+	// Holds, if set, reports whether this host is one of the holders that Lenders returns. It
+	// is for looks at endpoints that this host need not use.
+	Holds func(m replicaset.Member, maxConnections int) bool
 	// Detours, if set, returns the hosts to ask for a connection to an endpoint
 	// that this host cannot reach, in order of preference.
 	Detours func(m replicaset.Member) (addresses []string)
@@ -62,6 +66,14 @@
 	// Event receives each decision; it must not block.
 	Event func(Event)
 
+	// FailoverChecks, MembershipChecks and ConfirmationChecks have the groups that are due
+	// for a check of the failover manager.
+	FailoverChecks, MembershipChecks, ConfirmationChecks agenda.Agenda[*replicaset.Set]
+
+	// upkeep has the groups that Maintain looks at next.
+	upkeep agenda.Agenda[*group]
+	demand demand
+
 	declared atomic.Pointer[Declared]
 
 	mu     sync.Mutex
@@ -69,6 +81,9 @@
 	hosts  int
 	// startedAt is when this host heard of its first group.
 	startedAt replicaset.Instant
+	// wasBlind is what the groups were last told of the store.
+	wasBlind bool
+	sweptAt  replicaset.Instant
 }
 
 // Event is one decision about a statement, an endpoint or the primary of a
@@ -107,6 +122,9 @@
 	refreshing *sharedCall
 	// checking is the round of requests for the positions of the replicas, if any.
 	checking *sharedCall
+	// usedAt is when a connection to a member was last asked for, and watchedAt when this
+	// host last asked for a proof and a position as a holder.
+	usedAt, watchedAt replicaset.Instant
 	// resuming has the replicas that are being resumed because a switch left them paused.
 	resuming map[replicaset.EndpointID]bool
 }
@@ -145,6 +163,7 @@
 	e.declared.Store(d)
 	for name, g := range e.groups {
 		g.setPolicy(d.Groups[name], e.hosts)
+		e.checkAll(g)
 	}
 	return true
 }
@@ -156,7 +175,9 @@
 	defer e.mu.Unlock()
 	e.hosts = max(n, 1)
 	for _, g := range e.groups {
-		g.setPolicy(g.policy, e.hosts)
+		if g.setPolicy(g.policy, e.hosts) {
+			e.upkeep.Add(g)
+		}
 	}
 }
 
@@ -172,6 +193,8 @@
 	}
 	g = &group{Set: replicaset.New(name, e.Zone), pools: make(map[replicaset.EndpointID]*pool)}
 	g.Regions = e.Regions
+	g.OnChange = func(c replicaset.Change) { e.noteChange(g, c) }
+	g.SetBlind(e.wasBlind)
 	if d := e.declared.Load(); d != nil {
 		g.policy = d.Groups[name]
 	}
@@ -182,9 +205,17 @@
 		}
 	}
 	e.groups[name] = g
+	e.checkAll(g)
 	return g
 }
 
+// HasGroups reports whether there are any groups.
+func (e *Engine) HasGroups() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.groups) > 0
+}
+
 // Groups returns all groups.
 func (e *Engine) Groups() []*replicaset.Set {
 	var all []*replicaset.Set
@@ -223,26 +254,6 @@
 	return ok
 }
 
-// Maintain removes members whose registration has expired, closes surplus
-// connections and prepares for borrowing hosts. It must be called a few times a
-// second.
-func (e *Engine) Maintain() {
-	now := e.BootTime()
-	blind := e.blind()
-	for _, g := range e.allGroups() {
-		g.SetBlind(blind)
-		for _, id := range g.Expire(now) {
-			g.dropPool(id)
-		}
-		for _, p := range g.allPools() {
-			e.updateShare(p)
-			e.updateRole(g, p)
-			p.trim()
-		}
-		e.prepareForBorrowers(g, now)
-	}
-}
-
 // blind reports whether this host does not hear from the store.
 func (e *Engine) blind() bool { return e.StoreLost != nil && e.StoreLost() }
 
@@ -268,8 +279,10 @@
 	e.mu.Lock()
 	hosts := e.hosts
 	e.mu.Unlock()
+	e.upkeep.Add(g)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.usedAt = e.BootTime()
 	p, ok := g.pools[m.ID]
 	old := p
 	if ok && (p.member.Started != m.Started || p.member.Address != m.Address) {
@@ -287,13 +300,16 @@
 	return p
 }
 
-func (g *group) setPolicy(policy GroupPolicy, hosts int) {
+// setPolicy sets the policy of a group and this host's equal share of the connections to its
+// endpoints, which Maintain replaces by that of a holder. It reports whether there are any.
+func (g *group) setPolicy(policy GroupPolicy, hosts int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.policy = policy
 	for _, p := range g.pools {
 		p.setShare(policy.MaxConnections, hosts)
 	}
+	return len(g.pools) > 0
 }
 
 // splitConnections divides an endpoint's connections among the hosts. share is
@@ -307,13 +323,15 @@
 	return share, min(share+1, maxConnections)
 }
 
-// ReportConnections reports the number of open and idle connections to each endpoint, and of
-// requests waiting for one.
-func (e *Engine) ReportConnections(report func(g session.Group, id replicaset.EndpointID, open, idle, waiting int)) {
+// ConnectionCounts counts the open and idle connections to an endpoint, the requests that wait
+// for one, and the connections that were closed to make room for another account.
+type ConnectionCounts struct{ Open, Idle, Waiting, Evicted int }
+
+// ReportConnections reports the connections to each endpoint.
+func (e *Engine) ReportConnections(report func(g session.Group, id replicaset.EndpointID, n ConnectionCounts)) {
 	for _, g := range e.allGroups() {
 		for _, p := range g.allPools() {
-			open, idle, waiting := p.stats()
-			report(g.Name, p.member.ID, open, idle, waiting)
+			report(g.Name, p.member.ID, p.counts())
 		}
 	}
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -414,7 +414,12 @@
 
 // stats returns the number of open and idle connections, and of waiters.
 func (p *pool) stats() (open, idle, waiting int) {
+	n := p.counts()
+	return n.Open, n.Idle, n.Waiting
+}
+
+func (p *pool) counts() ConnectionCounts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, len(p.idle), p.waiting.Len()
+	return ConnectionCounts{Open: p.open, Idle: len(p.idle), Waiting: p.waiting.Len(), Evicted: p.evicted}
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -34,6 +34,8 @@
 	stateSize int
 	state     TxState
 	tx        *transaction
+	// attended is the group that the session counts as a client of.
+	attended session.Group
 }
 
 // maxSessionState bounds the names, values and prepared statements of one session, in bytes.
@@ -104,6 +106,7 @@
 
 // Close ends the session and rolls back an open transaction.
 func (s *CallerSession) Close() {
+	s.attend("")
 	if s.tx != nil {
 		s.endTransaction()
 	}
@@ -194,6 +197,7 @@
 		return Outcome{Code: UnknownAccount, Reason: "the key belongs to no account"}
 	}
 	s.db, s.account, s.resolved = db, account, d
+	s.attend(db.Group)
 	return Outcome{}
 }
 
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// checkInterval is how often all groups are checked.
-	checkInterval = 60 * time.Millisecond
 	// suspectAfter is how long a primary may leave requests unanswered before it is
 	// suspected.
 	suspectAfter = 250 * time.Millisecond
@@ -123,9 +121,14 @@
 	if m.firstObserved == 0 {
 		m.firstObserved = m.Engine.BootTime()
 	}
+	era, openedAt := m.era.era, m.era.openedAt
 	if !m.era.observe(st, m.Engine.BootTime()) {
 		return
 	}
+	if m.era.era != era || m.era.openedAt != openedAt {
+		// Switches that were recorded before are over, and groups may be unconfirmed.
+		m.Engine.CheckAll()
+	}
 	if m.knownLease.Era < st.Revision.Era {
 		m.knownLease = Lease{Era: st.Revision.Era}
 	}
@@ -141,26 +144,6 @@
 	return m.storeTime + m.Engine.BootTime().Sub(m.storeReadAt)
 }
 
-// Run checks all groups until the context ends.
-func (m *Manager) Run(ctx context.Context) error {
-	t := time.NewTicker(checkInterval)
-	defer t.Stop()
-	defer m.wg.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			m.checkEra(ctx)
-			for _, set := range m.Engine.Groups() {
-				m.checkGroup(ctx, set)
-			}
-			m.checkMemberships(ctx)
-			m.checkUnconfirmed(ctx)
-		}
-	}
-}
-
 // checkGroup starts a goroutine that confirms and handles a suspicion about a group, if
 // there is one and none is being handled.
 func (m *Manager) checkGroup(ctx context.Context, set *replicaset.Set) {
--- a/internal/lending/ring.go
+++ b/internal/lending/ring.go
@@ -70,13 +70,20 @@
 	// its own.
 	Regions map[string]string
 	Now     func() time.Time
+	// OnChange, if set, is called when this host may have become a holder: the list of
+	// hosts has changed, or a host was marked down.
+	OnChange func()
 
 	mu    sync.Mutex
 	peers []Peer
+	// byZone has the hosts of each zone.
+	byZone map[string][]Peer
 	// down holds the hosts that did not answer, by address.
 	down map[string]downState
-	// rankings caches the rankings computed since the last call of Set.
+	// rankings caches the rankings of the hosts in the list.
 	rankings map[rankingKey][]Peer
+	// lenders caches the lists that Lenders returns.
+	lenders map[rankingKey]*lenderList
 }
 
 // rankingKey identifies a ranking of the hosts of a zone. If zone is empty, it is a
@@ -91,15 +98,34 @@
 
 // Set replaces the list of hosts.
 func (r *Ring) Set(peers []Peer) {
+	if r.replace(peers) && r.OnChange != nil {
+		r.OnChange()
+	}
+}
+
+// replace replaces the list of hosts and reports whether it differs.
+func (r *Ring) replace(peers []Peer) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if slices.Equal(r.peers, peers) {
+		return false
+	}
+	r.dropRankings(peers)
 	r.peers = append(r.peers[:0], peers...)
-	r.rankings = nil
+	r.lenders = nil
+	return true
 }
 
 // MarkDown marks a host that did not answer as down. It has no effect while the host is
 // still being skipped for an earlier failure.
 func (r *Ring) MarkDown(address string) {
+	if r.skip(address) && r.OnChange != nil {
+		r.OnChange()
+	}
+}
+
+// skip marks a host as down and reports whether it was not before.
+func (r *Ring) skip(address string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down == nil {
@@ -108,26 +134,32 @@
 	now := r.Now()
 	a := r.down[address]
 	if now.Before(a.until) {
-		return
+		return false
 	}
 	a.backoff = min(max(2*a.backoff, minDownTime), maxDownTime)
 	a.until = now.Add(a.backoff)
 	r.down[address] = a
+	r.lenders = nil
+	return true
 }
 
 // MarkUp clears the backoff of a host that answered.
 func (r *Ring) MarkUp(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.down, address)
+	if _, ok := r.down[address]; ok {
+		delete(r.down, address)
+		r.lenders = nil
+	}
 }
 
-// Lenders returns the addresses of the hosts that are up, in the order of the
-// endpoint's ranking; the first holders of them hold connections to the endpoint.
+// Lenders returns the addresses of the first maxListed hosts that are up, in the order
+// of the endpoint's ranking; the first holders of them hold connections to the endpoint.
 // An empty address is this host. If this host is a holder, it comes first; otherwise
 // a hash decides which of the two holders comes first, to spread the load. For an
 // account a hash of the account always decides, so that each of its connections
-// to the endpoint is held by the same host and serves all others.
+// to the endpoint is held by the same host and serves all others. The caller must not
+// change the list.
 //
 // Holders is 0 if each host opens connections of its own: no other host is known, or
 // the endpoint has no connection limit. It is also 0 if no host of the ranking is up.
@@ -141,16 +173,12 @@
 	if maxConnections == 0 || len(r.peers) < 2 {
 		return nil, 0
 	}
-	addresses = r.liveAddresses(rankingKey{zone: m.Zone, key: m.ID})
-	holders = min(holdersPerEndpoint, len(addresses))
-	swap := holders > 1 && addresses[0] != "" && (addresses[1] == "" || xxhash.Sum64String(r.Self+string(m.ID))%2 == 1)
-	if a != "" {
-		swap = holders > 1 && xxhash.Sum64String(string(a)+string(m.ID))%2 == 1
-	}
-	if swap {
-		addresses[0], addresses[1] = addresses[1], addresses[0]
+	l := r.lenderList(rankingKey{zone: m.Zone, key: m.ID})
+	order := l.order
+	if a != "" && l.holders > 1 {
+		order = int(xxhash.Sum64String(string(a)+string(m.ID)) % 2)
 	}
-	return addresses, holders
+	return l.orders[order], l.holders
 }
 
 // liveAddresses returns the addresses of the hosts of a ranking that are not marked
@@ -170,8 +198,7 @@
 }
 
 // ranking returns the hosts of a ranking, highest score first. The result is cached
-// until the list of hosts changes, since it is needed several times a second for
-// each endpoint.
+// until the hosts that it ranks change.
 func (r *Ring) ranking(k rankingKey) []Peer {
 	if order, ok := r.rankings[k]; ok {
 		return order
