--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -23,8 +23,8 @@
 	// elapsed is the time on the host's clocks, in ns.
 	elapsed atomic.Int64
 	// term is the term that replicas report.
-	term                                                    atomic.Uint64
-	lookups, looks, requests, fetches, preconnects, borrows atomic.Int64
+	term                                                              atomic.Uint64
+	lookups, looks, requests, fetches, preconnects, borrows, statuses atomic.Int64
 	// lost has the hosts that don't answer.
 	lost map[string]bool
 }
@@ -72,7 +72,9 @@
 func (h *costHost) connect() {
 	h.Borrow = func(address string, m replicaset.Member, _ uint64, call engine.Call) (engine.RemoteResult, error) {
 		status := call.Ops[0].Kind == engine.OpStatus
-		if !status {
+		if status {
+			h.statuses.Add(1)
+		} else {
 			h.borrows.Add(1)
 		}
 		if h.lost[address] {
@@ -86,7 +88,7 @@
 	}
 	h.FetchKnowledge = func(_ string, g session.Group, _ time.Time) (replicaset.Knowledge, error) {
 		h.fetches.Add(1)
-		return replicaset.Knowledge{Lead: primaryOf(g), Term: 1, Point: session.Point{Term: 1, Position: 7}}, nil
+		return replicaset.Knowledge{Lead: h.Group(g).Lead().ID, Term: 1, Point: session.Point{Term: 1, Position: 7}}, nil
 	}
 	h.Dial = func(_ context.Context, m replicaset.Member) (*engine.Conn, error) {
 		return &engine.Conn{Endpoint: m.ID, Close: func() {}, Do: func(_ time.Time, ops ...engine.Op) ([]engine.Outcome, error) {
@@ -158,7 +160,7 @@
 
 // reset sets the counts to zero.
 func (h *costHost) reset() {
-	for _, c := range []*atomic.Int64{&h.lookups, &h.looks, &h.requests, &h.fetches, &h.preconnects, &h.borrows} {
+	for _, c := range []*atomic.Int64{&h.lookups, &h.looks, &h.requests, &h.fetches, &h.preconnects, &h.borrows, &h.statuses} {
 		c.Store(0)
 	}
 }
@@ -303,6 +305,57 @@
 	}
 }
 
+// TestFirstStatementAfterSilence guards against a first statement that waits for more than one
+// question: the borrower sends one message, a holder of replicas asks one of the primary's holders,
+// and a holder of the primary asks one replica and the primary, as after each idle period before.
+func TestFirstStatementAfterSilence(t *testing.T) {
+	h := newCostHost(300, 320)
+	for i := 0; i < 320; i += 2 {
+		// The primaries of half of the groups are in another zone.
+		h.Group(groupName(i)).SetLead(h.BootTime(), replicaset.Lead{ID: replicaset.EndpointID(groupName(i)) + "-1", Term: 1, Version: 2})
+	}
+	h.seconds(70, nil)
+	kinds := make(map[string]bool)
+	for i := range 320 {
+		g := groupName(i)
+		for _, m := range h.Group(g).Members() {
+			kind := "borrowed"
+			primary, _ := h.Group(g).Member(h.Group(g).Lead().ID)
+			switch {
+			case h.ring.Holds(primary, 57):
+				kind = "held primary"
+			case h.ring.Holds(m, 57):
+				kind = "held replica"
+			}
+			if kinds[kind] || kind == "borrowed" && m.Zone != "z-0" {
+				continue
+			}
+			kinds[kind] = true
+			h.elapsed.Add(int64(10 * time.Second))
+			h.reset()
+			deadline := h.Now().Add(time.Second)
+			if kind == "borrowed" {
+				s, _ := h.Open(string(g))
+				if o := s.Run(engine.Statement{ID: "1", Kind: engine.Read, Text: "READ 7"}); o.Code != engine.Done {
+					t.Errorf("%s: a read ends with %s: %s", kind, o.Code, o.Reason)
+				}
+				s.Close()
+			} else if l, err := h.Lend(g, m.ID, engine.Call{QueueDeadline: deadline, Deadline: deadline, Freshness: &engine.Freshness{MaxAge: time.Second}}); err != nil {
+				t.Errorf("%s: %v", kind, err)
+			} else {
+				l.Release()
+			}
+			want := map[string][3]int64{"borrowed": {1, 0, 0}, "held replica": {0, 1, 0}, "held primary": {0, 0, 2}}[kind]
+			if got := [3]int64{h.borrows.Load(), h.fetches.Load(), h.requests.Load() + h.statuses.Load()}; got != want {
+				t.Errorf("%s: calls, questions to hosts and status requests %v, want %v", kind, got, want)
+			}
+		}
+	}
+	if len(kinds) != 3 {
+		t.Errorf("covered only %v", kinds)
+	}
+}
+
 // TestShareAfterHostsChange guards against a pool that keeps an equal share of the connections
 // after the number of hosts was set, in a group that is not due otherwise.
 func TestShareAfterHostsChange(t *testing.T) {
