settings: limits of memory, descriptors, messages and answers

memory_mb existed for the line protocol only. Both hosts now accept memory_mb, max_fds, message_timeout_ms and answer_timeout_ms; the new ones have no effect yet.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,14 @@
 	ReadPolicy          string    `json:"read_policy,omitempty"`
 	SharePolicy         string    `json:"share_policy,omitempty"`
 	LogLevel            string    `json:"log_level,omitempty"`
+	// MemoryMB is the memory limit of the process in MiB, MaxFDs that of its open file
+	// descriptors; 0 means none.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	MaxFDs   int64 `json:"max_fds,omitempty"`
+	// MessageTimeoutMS is how long a caller may take from the first byte of a message to its
+	// last, AnswerTimeoutMS how long it may leave an answer unread.
+	MessageTimeoutMS int64 `json:"message_timeout_ms,omitempty"`
+	AnswerTimeoutMS  int64 `json:"answer_timeout_ms,omitempty"`
 }
 
 // Values of Settings.ReadPolicy. ReadSession routes by session consistency;
@@ -68,6 +76,10 @@
 		ReadPolicy:      ReadSession,
 		SharePolicy:     ShareLeased,
 		LogLevel:        "info",
+		// Three times the longest request of the contract, 10 s: no caller within the
+		// contract reaches them.
+		MessageTimeoutMS: 30_000,
+		AnswerTimeoutMS:  30_000,
 	}
 }
 
@@ -143,6 +155,10 @@
 		{"read_wait_ms", s.ReadWaitMS, 0, 1000},
 		{"suspect_ms", s.SuspectMS, 200, 5000},
 		{"drain_ms", s.DrainMS, 100, 600_000},
+		{"memory_mb", s.MemoryMB, 0, 1 << 20},
+		{"max_fds", s.MaxFDs, 0, 1 << 20},
+		{"message_timeout_ms", s.MessageTimeoutMS, 1000, 600_000},
+		{"answer_timeout_ms", s.AnswerTimeoutMS, 1000, 600_000},
 	} {
 		if f.value < f.low || f.value > f.high {
 			return invalid(f.name, fmt.Sprint(f.value), fmt.Sprintf("%d to %d", f.low, f.high))
