budget: memory and descriptors of the PostgreSQL protocol

pgproto3 allocates the buffer of a whole message, up to 16 MiB, once it has the header, and requests, prepared statements and responses were bounded for each session only. internal/pgframe asks the budget before each message of a caller or an endpoint is read.

TestPostgresUnfinished also covers messages of 4 MiB, which fit the part and wait. FuzzStartup passes the additional parameter of Server.serve.

--- a/internal/abuse/postgres_test.go
+++ b/internal/abuse/postgres_test.go
@@ -237,12 +237,18 @@
 
 // TestPostgresUnfinished guards against queries and Bind messages that are never ended.
 func TestPostgresUnfinished(t *testing.T) {
-	for name, kind := range map[string]byte{"query": 'Q', "bind": 'B', "parse": 'P'} {
-		t.Run(name, func(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		kind byte
+		size int
+	}{
+		{"query", 'Q', 16<<20 - 10}, {"bind", 'B', 16<<20 - 10}, {"parse", 'P', 16<<20 - 10}, {"smaller", 'Q', 4 << 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
 			p := startPostgres(t, manyFDs)
 			each(60, func(int) {
 				nc := p.session()
-				push(nc, header(kind, 16<<20-10))
+				push(nc, header(c.kind, c.size))
 				inPieces(nc, strings.Repeat(bulk, 3), 256<<10)
 			})
 			time.Sleep(holdTime)
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -47,22 +47,40 @@
 // SmallMessage is the largest message of SmallMessages, in bytes.
 const SmallMessage = 64 << 10
 
-// shares has the percentage of the memory limit for each part, and smallest the least size of
-// a part in bytes: one legal message of 1 MiB is held twice while it is sent on, and links
-// carry messages of up to 3 MiB. The parts and the connections take 70% of the memory when all
-// are full at once; the rest is for the process itself.
+// Shares has the percentage of the memory limit for each part, and for the connections of
+// each kind.
+type Shares struct {
+	Parts       [numParts]int64
+	Connections [numKinds]int64
+}
+
+// LineShares is for hosts of the line protocol, whose messages have at most 1 MiB, and
+// PostgresShares for hosts of the PostgreSQL protocol, whose messages have up to 16 MiB and
+// are held several times, and which have few links. When all parts and connections are at
+// their limits at once, they take 70% of the memory; the rest is for the process itself.
 var (
-	shares = [numParts]int64{
-		SmallMessages: 4, LargeMessages: 8, SmallInTransaction: 2, LargeInTransaction: 4, Answers: 8, SessionState: 5,
-		SmallLinks: 4, Links: 8, LinkAnswers: 4, Feeds: 2,
+	LineShares = Shares{
+		Parts: [numParts]int64{
+			SmallMessages: 4, LargeMessages: 8, SmallInTransaction: 2, LargeInTransaction: 4, Answers: 8, SessionState: 5,
+			SmallLinks: 4, Links: 8, LinkAnswers: 4, Feeds: 2,
+		},
+		Connections: [numKinds]int64{Clients: 8, Hosts: 12, Checks: 1},
 	}
-	smallest = [numParts]int64{
-		SmallMessages: 1 << 20, LargeMessages: 2 << 20, SmallInTransaction: 1 << 20, LargeInTransaction: 2 << 20,
-		Answers: 1 << 20, SessionState: 1 << 20,
-		SmallLinks: 1 << 20, Links: 6 << 20, LinkAnswers: 1 << 20, Feeds: 1 << 20,
+	PostgresShares = Shares{
+		Parts: [numParts]int64{
+			SmallMessages: 4, LargeMessages: 24, SmallInTransaction: 2, LargeInTransaction: 8, Answers: 16, SessionState: 5,
+		},
+		Connections: [numKinds]int64{Clients: 8, Hosts: 2, Checks: 1},
 	}
 )
 
+// smallest has the least size of a part in bytes: one legal message of 1 MiB is held twice
+// while it is sent on, and links carry messages of up to 3 MiB.
+var smallest = [numParts]int64{
+	SmallMessages: 1 << 20, LargeMessages: 2 << 20, SmallInTransaction: 1 << 20, LargeInTransaction: 2 << 20,
+	Answers: 1 << 20, SessionState: 1 << 20, SmallLinks: 1 << 20, Links: 6 << 20, LinkAnswers: 1 << 20, Feeds: 1 << 20,
+}
+
 // Reason says why a peer was refused or closed.
 type Reason string
 
@@ -108,6 +126,7 @@
 	// OnRefuse is called for each refusal and each connection that is closed. It may be nil.
 	OnRefuse func(r Reason)
 
+	shares  Shares
 	limited atomic.Bool
 	mu      sync.Mutex
 	parts   [numParts]part
@@ -124,8 +143,8 @@
 
 // New returns a budget for a memory limit in bytes and a limit of file descriptors. A limit
 // of 0 means none.
-func New(memory int64, descriptors int) *Budget {
-	b := &Budget{Now: time.Now}
+func New(s Shares, memory int64, descriptors int) *Budget {
+	b := &Budget{Now: time.Now, shares: s}
 	for p := range b.parts {
 		b.parts[p].holders = make(map[*Conn]int64)
 	}
@@ -140,7 +159,7 @@
 	defer b.mu.Unlock()
 	b.limited.Store(memory > 0)
 	for p := range b.parts {
-		b.parts[p].limit = max(memory*shares[p]/100, smallest[p])
+		b.parts[p].limit = max(memory*b.shares.Parts[p]/100, smallest[p])
 		b.admitWaiters(Part(p))
 	}
 }
--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -37,11 +37,8 @@
 
 // connectionCosts is what a connection takes in bytes, without its messages: buffers and
 // stacks. Measured with 600 connections: 7 KiB for an idle session, 31 KiB for a link with
-// its subscriber. connectionShares is the percentage of the memory for each kind.
-var (
-	connectionCosts  = [numKinds]int64{Clients: 8 << 10, Hosts: 32 << 10, Checks: 16 << 10}
-	connectionShares = [numKinds]int64{Clients: 8, Hosts: 12, Checks: 1}
-)
+// its subscriber.
+var connectionCosts = [numKinds]int64{Clients: 8 << 10, Hosts: 32 << 10, Checks: 16 << 10}
 
 // pool is the state of the connections of a kind.
 type pool struct {
@@ -64,7 +61,7 @@
 			n = max(descriptors-reservedFDs, descriptors/4) * descriptorShares[k] / 16
 		}
 		if memory > 0 {
-			n = min(n, int(memory*connectionShares[k]/100/connectionCosts[k]))
+			n = min(n, int(memory*b.shares.Connections[k]/100/connectionCosts[k]))
 		}
 		p.maxUnstarted = max(n/unstartedShare, 4)
 		p.maxStarted = max(n-p.maxUnstarted, 4)
--- a/internal/budget/doc.go
+++ b/internal/budget/doc.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	b := budget.New(memoryBytes, descriptors)
+//	b := budget.New(budget.LineShares, memoryBytes, descriptors)
 //	c, err := b.Open(budget.Clients, source, func() { nc.Close() })
 //	if err != nil { ... } // refused
 //	defer c.Close()
--- a/internal/budget/memory.go
+++ b/internal/budget/memory.go
@@ -110,26 +110,58 @@
 	return w.err
 }
 
-// evictSlow closes the connection whose message is received for longest, if that is longer
-// than slowAfter.
+// BeginSend notes that a charged answer is sent from now on, EndSend that it was read.
+func (c *Conn) BeginSend() { c.setSending(true) }
+
+// EndSend notes that an answer was read.
+func (c *Conn) EndSend() { c.setSending(false) }
+
+func (c *Conn) setSending(begin bool) {
+	if c == nil {
+		return
+	}
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.sending = time.Time{}
+	if begin {
+		c.sending = c.b.Now()
+	}
+}
+
+// slowSince returns since when the connection receives a message or leaves an answer unread,
+// zero if it does neither.
+func (c *Conn) slowSince(p Part) time.Time {
+	if p == Answers {
+		return c.sending
+	}
+	return c.receiving
+}
+
+// evictSlow closes the connection whose message is received, or whose answer is unread, for
+// longest, if that is longer than slowAfter.
 func (b *Budget) evictSlow(p Part) {
 	b.mu.Lock()
 	pt := &b.parts[p]
 	var v *Conn
 	if len(pt.waiters) > 0 {
 		for c := range pt.holders {
-			if !c.gone && !c.receiving.IsZero() && (v == nil || c.receiving.Before(v.receiving)) {
+			since := c.slowSince(p)
+			if !c.gone && !since.IsZero() && (v == nil || since.Before(v.slowSince(p))) {
 				v = c
 			}
 		}
 	}
-	if v == nil || b.Now().Sub(v.receiving) < slowAfter {
+	if v == nil || b.Now().Sub(v.slowSince(p)) < slowAfter {
 		b.mu.Unlock()
 		return
 	}
 	b.remove(v)
 	b.mu.Unlock()
-	b.close([]*Conn{v}, MessageSlow)
+	if p == Answers {
+		b.close([]*Conn{v}, AnswerUnread)
+	} else {
+		b.close([]*Conn{v}, MessageSlow)
+	}
 }
 
 // admitWaiters serves the waiters of a part for which there is room.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -87,7 +87,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			testServer().serve(serverConn)
+			testServer().serve(serverConn, nil)
 		}()
 		received := make(chan string, 1)
 		go func() {
--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -62,6 +62,8 @@
 func (c *callerSession) exchange(conn *endpoint.Conn, b *batch, stream bool) (*response, error) {
 	c.setActiveConn(conn)
 	defer c.setActiveConn(nil)
+	conn.SetAdmit(c.admitAnswer)
+	defer conn.SetAdmit(nil)
 	var steps []step
 	if b.simple {
 		conn.Frontend.SendQuery(&pgproto3.Query{String: b.query})
@@ -175,10 +177,14 @@
 	resp.out = out
 	if stream && !resp.complete && len(resp.out) > streamThreshold {
 		resp.streamed = true
-		if _, err := c.conn.Write(resp.out); err != nil {
+		if _, err := (callerWriter{c}).Write(resp.out); err != nil {
 			return errDisconnect
 		}
 		resp.out = resp.out[:0]
+		if cap(resp.out) > 2*streamThreshold {
+			resp.out = nil
+		}
+		c.endAnswer()
 	}
 	if len(resp.out) > maxBufferedResponse {
 		return fmt.Errorf("response of more than %d bytes", maxBufferedResponse)
--- a/internal/caller/handle.go
+++ b/internal/caller/handle.go
@@ -101,7 +101,7 @@
 		return errDisconnect
 	}
 	if len(resp.out) > 0 {
-		if _, err := c.conn.Write(resp.out); err != nil {
+		if _, err := (callerWriter{c}).Write(resp.out); err != nil {
 			return errDisconnect
 		}
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -13,6 +13,7 @@
 	"github.com/benbjohnson/clock"
 	"gopkg.in/tomb.v2"
 
+	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/endpoint"
 	"github.com/cumintrestle/cumintrestle/pkg/result"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -49,7 +50,13 @@
 	ReadWait time.Duration
 	Reads    ReadPolicy
 	Retries  *RetryBudget
+	// Budget bounds the memory and the connections of callers. It may be nil.
+	Budget *budget.Budget
+	// MessageTimeout is how long a caller may take to complete a request that it has begun,
+	// AnswerTimeout how long it may leave an answer unread; 0 means the default and no limit.
+	MessageTimeout, AnswerTimeout time.Duration
 
+	cancels  cancelLimit
 	t        tomb.Tomb
 	mu       sync.Mutex
 	sessions map[sessionKey]*callerSession
@@ -97,8 +104,12 @@
 			if err != nil {
 				return nil
 			}
+			// A connection is admitted before the next one is accepted, so that their number
+			// stays bounded.
+			source, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+			held := s.Budget.Open(budget.Clients, source, func() { _ = conn.Close() })
 			s.t.Go(func() error {
-				s.serve(conn)
+				s.serve(conn, held)
 				return nil
 			})
 		}
@@ -193,11 +204,13 @@
 // disconnected, or can get no further message.
 var errDisconnect = errors.New("connection closed without a message")
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(conn net.Conn, held *budget.Conn) {
 	defer conn.Close()
 	ctx, stop := context.WithCancel(s.t.Context(context.Background()))
 	defer stop()
 	c := newSession(s, conn)
+	c.budget = held
+	defer held.Close()
 	if err := c.handshake(); err != nil {
 		c.sendFatal(err)
 		return
@@ -207,3 +220,36 @@
 	c.serveRequests(ctx)
 	c.rollBackTransaction()
 }
+
+// defaultMessageTimeout is three times the longest request of the contract.
+const defaultMessageTimeout = 30 * time.Second
+
+func (s *Server) messageTimeout() time.Duration {
+	if s.MessageTimeout == 0 {
+		return defaultMessageTimeout
+	}
+	return s.MessageTimeout
+}
+
+// cancelsPerSecond is how many cancel requests a host forwards to all other hosts in a second.
+// Callers cancel a request when they give up on it, which is rare; each one costs a message to
+// every host.
+const cancelsPerSecond = 100
+
+// cancelLimit counts the cancel requests that were forwarded in the current second.
+type cancelLimit struct {
+	mu     sync.Mutex
+	second int64
+	n      int
+}
+
+// take reports whether another cancel request may be forwarded.
+func (l *cancelLimit) take(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := now.Unix(); s != l.second {
+		l.second, l.n = s, 0
+	}
+	l.n++
+	return l.n <= cancelsPerSecond
+}
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -10,7 +10,9 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/endpoint"
+	"github.com/cumintrestle/cumintrestle/internal/pgframe"
 	"github.com/cumintrestle/cumintrestle/pkg/result"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 	"github.com/cumintrestle/cumintrestle/pkg/template"
@@ -18,18 +20,24 @@
 
 // callerSession is the state of one caller's connection.
 type callerSession struct {
-	srv       *Server
-	conn      net.Conn
-	be        *pgproto3.Backend
-	key       sessionKey
-	account   template.Account
-	template  template.Template
-	groupName session.Group
-	group     *endpoint.Group
-	params    params
-	prepared  map[string]preparedStatement
-	portals   map[string]preparedStatement
-	tx        *transaction
+	srv  *Server
+	conn net.Conn
+	be   *pgproto3.Backend
+	// reader is what be reads from.
+	reader *pgframe.Reader
+	budget *budget.Conn
+	in     intake
+	// authenticated is set once the caller has proved who it is.
+	authenticated bool
+	key           sessionKey
+	account       template.Account
+	template      template.Template
+	groupName     session.Group
+	group         *endpoint.Group
+	params        params
+	prepared      map[string]preparedStatement
+	portals       map[string]preparedStatement
+	tx            *transaction
 	// reportedToken is the session token that the caller was last sent.
 	reportedToken string
 	// lastAcked is the log point of the last acknowledged write or
@@ -52,13 +60,16 @@
 }
 
 func newSession(s *Server, conn net.Conn) *callerSession {
-	return &callerSession{
+	c := &callerSession{
 		srv:      s,
 		conn:     conn,
-		be:       pgproto3.NewBackend(conn, conn),
+		reader:   pgframe.NewReader(conn),
 		prepared: make(map[string]preparedStatement),
 		portals:  make(map[string]preparedStatement),
 	}
+	c.reader.Startup, c.reader.Admit = true, c.admitMessage
+	c.be = pgproto3.NewBackend(c.reader, callerWriter{c})
+	return c
 }
 
 // serveRequests serves one request after another until the session ends.
@@ -74,13 +85,20 @@
 			c.sendFatal(err)
 			return
 		}
-		if err := c.handleRequest(ctx, b); err != nil {
+		if err := c.chargePrepared(b); err != nil {
+			err = c.failRequest(err)
+		} else {
+			err = c.handleRequest(ctx, b)
+			c.settlePrepared(b)
+		}
+		if err != nil {
 			c.sendFatal(err)
 			return
 		}
 		if err := c.be.Flush(); err != nil {
 			return
 		}
+		c.endRequest()
 	}
 }
 
@@ -91,14 +109,18 @@
 		c.setIdle(true)
 		defer c.setIdle(false)
 	}
-	if c.tx != nil && !c.tx.lost {
-		_ = c.conn.SetReadDeadline(time.Now().Add(transactionIdleTimeout))
+	if until := c.readDeadline(); !until.IsZero() {
+		_ = c.conn.SetReadDeadline(until)
 		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
 	}
 	m, err := c.be.Receive()
 	if err == nil {
 		return m, nil
 	}
+	if c.late(err) {
+		c.budget.Refused(budget.MessageTimeout)
+		return nil, result.New(result.MessageInvalid, "the request was not complete within %s", c.srv.messageTimeout())
+	}
 	if c.tx != nil && errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, result.New(result.TransactionFailed, "the transaction was idle for %s and is rolled back", transactionIdleTimeout)
 	}
@@ -112,6 +134,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = idle
+	switch {
+	case c.tx != nil:
+		c.budget.SetState(budget.InTransaction)
+	case idle:
+		c.budget.SetState(budget.Idle)
+	default:
+		c.budget.SetState(budget.Busy)
+	}
 	if !idle {
 		_ = c.conn.SetReadDeadline(time.Time{})
 	}
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/pkg/result"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 	"github.com/cumintrestle/cumintrestle/pkg/template"
@@ -40,13 +41,19 @@
 			}
 		}
 	}
-	c.be.SetMaxBodyLen(maxMessageBytes)
+	c.reader.Startup = false
+	c.be.SetMaxBodyLen(maxAuthBytes)
 	if err := c.authenticate(); err != nil {
 		return err
 	}
+	c.be.SetMaxBodyLen(maxMessageBytes)
+	c.authenticated = true
 	if err := c.checkTemplate(); err != nil {
 		return err
 	}
+	if err := c.budget.Start(); err != nil {
+		return result.New(result.TooManyConnections, "the entry host has no connection left: %w", err)
+	}
 	if err := c.srv.Admit(c.account); err != nil {
 		return err
 	}
@@ -115,9 +122,14 @@
 // cancelOrForward cancels a request on this host, or forwards the cancel
 // request if the session is on another host.
 func (c *callerSession) cancelOrForward(pid, secret uint32) {
-	if !c.srv.Cancel(pid, secret) {
-		c.srv.ForwardCancel(pid, secret)
+	if c.srv.Cancel(pid, secret) {
+		return
 	}
+	if !c.srv.cancels.take(c.srv.Clock.Now()) {
+		c.budget.Refused(budget.CancelFlood)
+		return
+	}
+	c.srv.ForwardCancel(pid, secret)
 }
 
 // authenticate runs SCRAM-SHA-256 with the verifier of the account's
@@ -223,6 +235,10 @@
 // receiveError maps a receive error to MessageInvalid if the message was
 // malformed or too large, else to errDisconnect.
 func receiveError(err error) error {
+	var refused *result.Error
+	if errors.As(err, &refused) {
+		return refused
+	}
 	var tooLarge *pgproto3.ExceededMaxBodyLenErr
 	if errors.As(err, &tooLarge) {
 		return result.New(result.MessageInvalid, "message of %d bytes, at most %d", tooLarge.ActualBodyLen, tooLarge.MaxExpectedBodyLen)
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
+	"github.com/cumintrestle/cumintrestle/internal/pgframe"
 )
 
 // maxPrepared is the number of prepared statements above which a connection
@@ -18,8 +20,10 @@
 
 // Conn is a connection to an endpoint that carries callers' statements.
 type Conn struct {
-	Member     core.MemberID
-	Frontend   *pgproto3.Frontend
+	Member   core.MemberID
+	Frontend *pgproto3.Frontend
+	// reader asks the function set by SetAdmit before each message of the endpoint.
+	reader     *pgframe.Reader
 	net        net.Conn
 	pid        uint32
 	secret     []byte
@@ -33,7 +37,11 @@
 }
 
 func (d Dialer) open(ctx context.Context, m core.Member, database string) (*Conn, error) {
-	pc, err := d.connect(ctx, serviceUser, m.Address, database)
+	var reader *pgframe.Reader
+	pc, err := d.connectThrough(ctx, serviceUser, m.Address, database, func(r io.Reader) io.Reader {
+		reader = pgframe.NewReader(r)
+		return reader
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -44,6 +52,7 @@
 	return &Conn{
 		Member:   m.ID,
 		Frontend: h.Frontend,
+		reader:   reader,
 		net:      h.Conn,
 		pid:      h.PID,
 		secret:   h.SecretKey,
@@ -51,6 +60,10 @@
 	}, nil
 }
 
+// SetAdmit sets the function that is called with the size of each message of the endpoint
+// before it is read; nil removes it.
+func (c *Conn) SetAdmit(f func(size int) error) { c.reader.Admit = f }
+
 // HasPrepared reports whether a statement is prepared on the connection.
 func (c *Conn) HasPrepared(name string) bool { return c.prepared[name] }
 
--- a/internal/endpoint/dialer.go
+++ b/internal/endpoint/dialer.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/cumintrestle/cumintrestle/pkg/result"
 )
@@ -29,6 +31,11 @@
 }
 
 func (d Dialer) connect(ctx context.Context, user, address, database string) (*pgconn.PgConn, error) {
+	return d.connectThrough(ctx, user, address, database, nil)
+}
+
+// connectThrough opens a connection whose reader is passed through wrap, if that is not nil.
+func (d Dialer) connectThrough(ctx context.Context, user, address, database string, wrap func(io.Reader) io.Reader) (*pgconn.PgConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	cfg, err := pgconn.ParseConfig("postgres://" + user + "@" + address + "/" + database + "?sslmode=disable")
@@ -38,6 +45,9 @@
 	cfg.Password = d.Password
 	cfg.RuntimeParams["application_name"] = d.Host
 	cfg.DialFunc = d.DialContext
+	if wrap != nil {
+		cfg.BuildFrontend = func(r io.Reader, w io.Writer) *pgproto3.Frontend { return pgproto3.NewFrontend(wrap(r), w) }
+	}
 	conn, err := pgconn.ConnectConfig(ctx, cfg)
 	if err != nil {
 		return nil, connectError(err)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,10 +24,12 @@
 	"github.com/phuslu/log"
 	"gopkg.in/tomb.v2"
 
+	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/caller"
 	"github.com/cumintrestle/cumintrestle/internal/core"
 	"github.com/cumintrestle/cumintrestle/internal/declared"
 	"github.com/cumintrestle/cumintrestle/internal/endpoint"
+	"github.com/cumintrestle/cumintrestle/internal/httplimit"
 	"github.com/cumintrestle/cumintrestle/internal/operator"
 	"github.com/cumintrestle/cumintrestle/internal/peer"
 	"github.com/cumintrestle/cumintrestle/internal/platform"
@@ -67,6 +69,8 @@
 	caps      *accountCaps
 	sharer    *sharer
 	metrics   *metrics
+	budget    *budget.Budget
+	refusals  budget.Lines
 	retries   *caller.RetryBudget
 	operators *http.Server
 	addresses Addresses
@@ -98,6 +102,7 @@
 	h.groups = make(map[session.Group]*endpoint.Group)
 	h.state = declared.NewState()
 	h.metrics = newMetrics()
+	h.buildBudget()
 	h.retries = &caller.RetryBudget{PerSecond: retryPerSecond, Burst: retryBurst}
 	h.table = &platform.Client{URL: h.Settings.PlatformURL, DialContext: dialer.DialContext}
 	h.table.Init()
@@ -176,7 +181,7 @@
 		OnLoan:      h.sharer.enqueueLoan,
 		OnCancel:    func(pid, secret uint32) { h.callers.Cancel(pid, secret) },
 	}
-	h.mesh.Run(ln)
+	h.mesh.Run(httplimit.Listen(ln, budget.Hosts, h.budget))
 }
 
 func (h *Host) startCallers(ln net.Listener, dialer endpoint.Dialer) {
@@ -200,7 +205,10 @@
 			PrimaryOnly: s.ReadPolicy == settings.ReadPrimaryOnly,
 			AnyReplica:  s.ReadPolicy == settings.ReadRandomReplica,
 		},
-		Retries: h.retries,
+		Retries:        h.retries,
+		Budget:         h.budget,
+		MessageTimeout: time.Duration(s.MessageTimeoutMS) * time.Millisecond,
+		AnswerTimeout:  time.Duration(s.AnswerTimeoutMS) * time.Millisecond,
 	}
 	h.callers.Run(ln)
 }
@@ -218,10 +226,12 @@
 		Status:      h.Status,
 		Ready:       h.Ready,
 		Metrics:     h.metrics.handler(),
+		Reserve:     func(n int) error { return h.budget.Reserve(budget.LargeMessages, n) },
+		Release:     func(n int) { h.budget.Release(budget.LargeMessages, n) },
 	}
-	h.operators = &http.Server{Handler: srv.Handler(), ReadHeaderTimeout: time.Second}
+	h.operators = httplimit.Server(srv.Handler(), time.Second)
 	h.t.Go(func() error {
-		_ = h.operators.Serve(ln)
+		_ = h.operators.Serve(httplimit.Listen(ln, budget.Checks, h.budget))
 		return nil
 	})
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -21,6 +21,9 @@
 
 const maxRequestBytes = 1 << 20
 
+// applyCost is what a change takes while it is received and decoded, in bytes.
+const applyCost = 3 * maxRequestBytes
+
 // Server serves the operators' HTTP interface. Set the exported fields before
 // calling Handler.
 type Server struct {
@@ -31,6 +34,9 @@
 	Status      func() Status
 	Ready       func() bool
 	Metrics     http.Handler
+	// Reserve charges the memory of a change, Release returns it. Both may be nil.
+	Reserve func(n int) error
+	Release func(n int)
 }
 
 // Status is the state of one entry host and what it knows about its peers, the
@@ -137,6 +143,13 @@
 }
 
 func (s *Server) handleApply(w http.ResponseWriter, r *http.Request, operator string) {
+	if s.Reserve != nil {
+		if err := s.Reserve(applyCost); err != nil {
+			writeError(w, http.StatusServiceUnavailable, result.New(result.QueueFull, "no memory for a change: %w", err))
+			return
+		}
+		defer s.Release(applyCost)
+	}
 	var c Change
 	dec := json.NewDecoder(io.LimitReader(r.Body, maxRequestBytes))
 	dec.DisallowUnknownFields()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -30,6 +30,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/cumintrestle/cumintrestle/internal/core"
+	"github.com/cumintrestle/cumintrestle/internal/httplimit"
 	"github.com/cumintrestle/cumintrestle/internal/platform"
 )
 
@@ -100,7 +101,7 @@
 	m.ctx = m.t.Context(context.Background())
 	m.links = make(map[string]*link)
 	m.peers = make(map[core.HostID]*Peer)
-	srv := &http.Server{Handler: http.HandlerFunc(m.accept), ReadHeaderTimeout: writeTimeout}
+	srv := httplimit.Server(http.HandlerFunc(m.accept), writeTimeout)
 	m.t.Go(func() error {
 		<-m.t.Dying()
 		return srv.Close()
