--- a/internal/abuse/entry_test.go
+++ b/internal/abuse/entry_test.go
@@ -163,8 +163,8 @@
 // TestMessagesOverTheLimit guards against messages far over the limit without a line ending.
 func TestMessagesOverTheLimit(t *testing.T) {
 	e := startEntry(t, manyFDs)
-	each(crowd, func(i int) { inPieces(e.open(), "QUERY 1 WRITE 1 "+strings.Repeat(bulk, 4), 1<<20) })
-	each(crowd, func(i int) {
+	each(crowd, func(int) { inPieces(e.open(), "QUERY 1 WRITE 1 "+strings.Repeat(bulk, 4), 1<<20) })
+	each(crowd, func(int) {
 		if nc := dialTest(t, e.callers); nc != nil {
 			inPieces(nc, "START "+bulk, 1<<20)
 		}
@@ -200,7 +200,7 @@
 // of each session may take 1 MiB.
 func TestSessionState(t *testing.T) {
 	e := startEntry(t, manyFDs)
-	each(crowd, func(i int) { push(e.open(), []byte("QUERY 1 PREPARE s WRITE "+bulk[:900_000]+"\r\n")) })
+	each(crowd, func(int) { push(e.open(), []byte("QUERY 1 PREPARE s WRITE "+bulk[:900_000]+"\r\n")) })
 	time.Sleep(holdTime)
 	e.mustBeWell()
 }
--- a/internal/abuse/links_test.go
+++ b/internal/abuse/links_test.go
@@ -68,7 +68,7 @@
 func TestLendCallsAhead(t *testing.T) {
 	e := startEntry(t, manyFDs)
 	e.group.Databases[0].SetUnresponsive(true)
-	each(16, func(i int) {
+	each(16, func(int) {
 		ws := e.link("/lend")
 		if ws == nil {
 			return
@@ -91,7 +91,7 @@
 func TestLendSmallCallsAhead(t *testing.T) {
 	e := startEntry(t, manyFDs)
 	e.group.Databases[0].SetUnresponsive(true)
-	each(8, func(i int) {
+	each(8, func(int) {
 		ws := e.link("/lend")
 		if ws == nil {
 			return
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -125,6 +125,9 @@
 	Now func() time.Time
 	// OnRefuse is called for each refusal and each connection that is closed. It may be nil.
 	OnRefuse func(r Reason)
+	// SlowAfter is how long a message may be received, or an answer be unread, before its
+	// connection can be closed because others wait for the memory.
+	SlowAfter time.Duration
 
 	shares  Shares
 	limited atomic.Bool
@@ -144,7 +147,7 @@
 // New returns a budget for a memory limit in bytes and a limit of file descriptors. A limit
 // of 0 means none.
 func New(s Shares, memory int64, descriptors int) *Budget {
-	b := &Budget{Now: time.Now, shares: s}
+	b := &Budget{Now: time.Now, SlowAfter: DefaultSlowAfter, shares: s}
 	for p := range b.parts {
 		b.parts[p].holders = make(map[*Conn]int64)
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -138,7 +138,7 @@
 		t.Fatal(err)
 	}
 	h.evictSlow(LargeMessages)
-	h.now = h.now.Add(slowAfter)
+	h.now = h.now.Add(h.SlowAfter)
 	h.evictSlow(LargeMessages)
 	if len(h.closed) != 0 {
 		t.Fatal("a slow message is closed although nobody waits")
--- a/internal/budget/memory.go
+++ b/internal/budget/memory.go
@@ -5,10 +5,9 @@
 	"time"
 )
 
-// slowAfter is how long a message may be received, or an answer be unread, before its
-// connection can be closed because others need the memory. A message of 1 MiB takes 5 s if it
-// has a sixth of a link of 10 Mbit/s.
-const slowAfter = 5 * time.Second
+// DefaultSlowAfter is the default of Budget.SlowAfter. A message of 1 MiB takes 5 s if it has
+// a sixth of a link of 10 Mbit/s.
+const DefaultSlowAfter = 5 * time.Second
 
 // waiter is a connection that waits for bytes of a part.
 type waiter struct {
@@ -138,7 +137,7 @@
 }
 
 // evictSlow closes the connection whose message is received, or whose answer is unread, for
-// longest, if that is longer than slowAfter.
+// longest, if that is longer than SlowAfter.
 func (b *Budget) evictSlow(p Part) {
 	b.mu.Lock()
 	pt := &b.parts[p]
@@ -151,7 +150,7 @@
 			}
 		}
 	}
-	if v == nil || b.Now().Sub(v.slowSince(p)) < slowAfter {
+	if v == nil || b.Now().Sub(v.slowSince(p)) < b.SlowAfter {
 		b.mu.Unlock()
 		return
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -55,6 +55,9 @@
 	// MessageTimeout is how long a caller may take to complete a request that it has begun,
 	// AnswerTimeout how long it may leave an answer unread; 0 means the default and no limit.
 	MessageTimeout, AnswerTimeout time.Duration
+	// CancelsPerS is how many cancel requests are forwarded to the other hosts in a second; 0
+	// means the default.
+	CancelsPerS int
 
 	cancels  cancelLimit
 	t        tomb.Tomb
@@ -231,10 +234,9 @@
 	return s.MessageTimeout
 }
 
-// cancelsPerSecond is how many cancel requests a host forwards to all other hosts in a second.
-// Callers cancel a request when they give up on it, which is rare; each one costs a message to
-// every host.
-const cancelsPerSecond = 100
+// defaultCancelsPerS is the default of Server.CancelsPerS. Callers cancel a request when they
+// give up on it, which is rare; each one costs a message to every host.
+const defaultCancelsPerS = 100
 
 // cancelLimit counts the cancel requests that were forwarded in the current second.
 type cancelLimit struct {
@@ -244,12 +246,15 @@
 }
 
 // take reports whether another cancel request may be forwarded.
-func (l *cancelLimit) take(now time.Time) bool {
+func (l *cancelLimit) take(now time.Time, perSecond int) bool {
+	if perSecond == 0 {
+		perSecond = defaultCancelsPerS
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := now.Unix(); s != l.second {
 		l.second, l.n = s, 0
 	}
 	l.n++
-	return l.n <= cancelsPerSecond
+	return l.n <= perSecond
 }
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -85,13 +85,7 @@
 			c.sendFatal(err)
 			return
 		}
-		if err := c.chargePrepared(b); err != nil {
-			err = c.failRequest(err)
-		} else {
-			err = c.handleRequest(ctx, b)
-			c.settlePrepared(b)
-		}
-		if err != nil {
+		if err := c.serveRequest(ctx, b); err != nil {
 			c.sendFatal(err)
 			return
 		}
@@ -102,6 +96,15 @@
 	}
 }
 
+// serveRequest charges what a request prepares and handles it. An error ends the session.
+func (c *callerSession) serveRequest(ctx context.Context, b *batch) error {
+	if err := c.chargePrepared(b); err != nil {
+		return c.failRequest(err)
+	}
+	defer c.settlePrepared(b)
+	return c.handleRequest(ctx, b)
+}
+
 // receive reads one message. While it waits for the first message of a
 // request, the session is idle and Drain may interrupt it.
 func (c *callerSession) receive(first bool) (pgproto3.FrontendMessage, error) {
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -125,7 +125,7 @@
 	if c.srv.Cancel(pid, secret) {
 		return
 	}
-	if !c.srv.cancels.take(c.srv.Clock.Now()) {
+	if !c.srv.cancels.take(c.srv.Clock.Now(), c.srv.CancelsPerS) {
 		c.budget.Refused(budget.CancelFlood)
 		return
 	}
--- a/internal/host/budget.go
+++ b/internal/host/budget.go
@@ -2,10 +2,12 @@
 
 import (
 	"runtime/debug"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/cumintrestle/cumintrestle/internal/budget"
+	"github.com/cumintrestle/cumintrestle/internal/httplimit"
 )
 
 const (
@@ -24,6 +26,9 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	h.budget = budget.New(budget.PostgresShares, memory, int(h.Settings.MaxFDs))
+	if ms := h.Settings.SlowAfterMS; ms > 0 {
+		h.budget.SlowAfter = time.Duration(ms) * time.Millisecond
+	}
 	refusals := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cumintrestle_budget_refusals_total", Help: "Peers refused or disconnected by the budget, by reason.",
 	}, []string{"reason"})
@@ -35,3 +40,11 @@
 		}
 	}
 }
+
+// httpLimits returns the limits of HTTP requests in the settings.
+func (h *Host) httpLimits(headerTimeout time.Duration) httplimit.Limits {
+	return httplimit.Limits{
+		HeaderTimeout: headerTimeout, Timeout: time.Duration(h.Settings.HTTPTimeoutMS) * time.Millisecond,
+		HeaderBytes: int(h.Settings.HTTPHeaderBytes),
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -170,6 +170,7 @@
 	h.mesh = &peer.Mesh{
 		Self:        peer.Info{Host: h.id, Zone: h.Settings.Zone, Address: advertise},
 		Credential:  h.Settings.PeerCredential,
+		HTTP:        h.httpLimits(0),
 		Seeds:       h.Settings.SeedPeers,
 		Clock:       h.Clock,
 		DialContext: dialer.DialContext,
@@ -207,6 +208,7 @@
 		},
 		Retries:        h.retries,
 		Budget:         h.budget,
+		CancelsPerS:    int(s.CancelsPerS),
 		MessageTimeout: time.Duration(s.MessageTimeoutMS) * time.Millisecond,
 		AnswerTimeout:  time.Duration(s.AnswerTimeoutMS) * time.Millisecond,
 	}
@@ -229,7 +231,7 @@
 		Reserve:     func(n int) error { return h.budget.Reserve(budget.LargeMessages, n) },
 		Release:     func(n int) { h.budget.Release(budget.LargeMessages, n) },
 	}
-	h.operators = httplimit.Server(srv.Handler(), time.Second)
+	h.operators = httplimit.Server(srv.Handler(), h.httpLimits(time.Second))
 	h.t.Go(func() error {
 		_ = h.operators.Serve(httplimit.Listen(ln, budget.Checks, h.budget))
 		return nil
--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	srv := httplimit.Server(mux, timeout)
+//	srv := httplimit.Server(mux, httplimit.Limits{HeaderTimeout: timeout})
 //	err := srv.Serve(httplimit.Listen(ln, budget.Hosts, b))
 package httplimit
 
@@ -18,17 +18,36 @@
 )
 
 const (
-	// maxHeader is the largest header of a request in bytes; net/http adds 4 KiB. Handshakes
-	// of links, scrapers and health checks need less than 1 KiB.
-	maxHeader = 8 << 10
-	// requestTimeout is how long a request may take to arrive and its answer to be read.
-	// Links are exempt once they are open.
-	requestTimeout = 30 * time.Second
+	// DefaultHeaderBytes is the default of Limits.HeaderBytes. Handshakes of links, scrapers
+	// and health checks need less than 1 KiB.
+	DefaultHeaderBytes = 8 << 10
+	// DefaultTimeout is the default of Limits.Timeout: three times the longest request of the
+	// contract, 10 s.
+	DefaultTimeout = 30 * time.Second
 	// idleTimeout is how long a connection may wait for its next request. Scrapers poll every
 	// minute or more often.
 	idleTimeout = 2 * time.Minute
 )
 
+// Limits are the limits of requests. A zero HeaderBytes or Timeout means the default.
+type Limits struct {
+	// HeaderTimeout is how long the header of a request may take to arrive, and Timeout the
+	// whole request, and the reading of its answer. Links are exempt once they are open.
+	HeaderTimeout, Timeout time.Duration
+	// HeaderBytes is the largest header of a request; net/http adds 4 KiB.
+	HeaderBytes int
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.HeaderBytes == 0 {
+		l.HeaderBytes = DefaultHeaderBytes
+	}
+	if l.Timeout == 0 {
+		l.Timeout = DefaultTimeout
+	}
+	return l
+}
+
 type connKey struct{}
 
 // conn is a connection in the budget.
@@ -66,12 +85,13 @@
 	return &conn{Conn: nc, budget: l.budget.Open(l.kind, source, func() { _ = nc.Close() })}, nil
 }
 
-// Server returns a server with bounded headers and times. headerTimeout is for the header of
-// a request. A connection that is taken over by a link counts as started.
-func Server(h http.Handler, headerTimeout time.Duration) *http.Server {
+// Server returns a server with bounded headers and times. A connection that is taken over by
+// a link counts as started.
+func Server(h http.Handler, l Limits) *http.Server {
+	l = l.withDefaults()
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: h, ReadHeaderTimeout: l.HeaderTimeout, ReadTimeout: l.Timeout, WriteTimeout: l.Timeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: l.HeaderBytes,
 		ConnState: func(nc net.Conn, state http.ConnState) {
 			if c, ok := nc.(*conn); ok && state == http.StateHijacked && c.budget.Start() != nil {
 				_ = c.Close()
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 
@@ -31,6 +32,11 @@
 	Unavailable func() bool
 	// Budget bounds the memory of calls. It may be nil.
 	Budget *budget.Budget
+	// Timeout is how long a message of a link may take to arrive, its wait for memory included,
+	// and a response to be read. LinkCalls is how many calls of a link run at the same time; a
+	// host that has more in flight is not read from until some have ended. 0 means the default.
+	Timeout   time.Duration
+	LinkCalls int
 
 	// handles is the last handle given out. It begins at a random number, so that handles
 	// don't come again after a restart.
@@ -88,7 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b := &borrowerLink{
-		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, maxTasks), loans: make(map[uint64]*loan),
+		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, l.linkCalls()), loans: make(map[uint64]*loan),
 	}
 	defer b.abortLoans()
 	for {
@@ -143,9 +149,6 @@
 		b.lender.transactions.Add(-1)
 	}
 	delete(b.loans, handle)
-	if len(b.loans) == 0 {
-		b.budget.SetState(budget.Idle)
-	}
 	return ln
 }
 
@@ -225,7 +228,6 @@
 		handle = b.lender.nextHandle()
 		b.loans[handle] = ln
 		b.lender.transactions.Add(1)
-		b.budget.SetState(budget.InTransaction)
 	}
 	return handle
 }
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -14,17 +14,16 @@
 )
 
 const (
-	// maxTasks is the maximum number of tasks of a link that run at the same time. A host
-	// that has more in flight is not read from until some have ended.
-	maxTasks = 512
+	// DefaultLinkCalls is the default of Lender.LinkCalls. A fleet with 1,100 operations per
+	// second that wait for 900 ms each has 1,000 in flight, over all its links.
+	DefaultLinkCalls = 512
 	// callCost is what a call takes beside its message, in bytes: its goroutine, the decoded
 	// request and its place in the queue. 80,000 waiting calls took 4.2 KiB each.
 	callCost = 4 << 10
 	// freeMessage is the size up to which a message is part of callCost, in bytes.
 	freeMessage = 2 << 10
-	// messageTimeout is how long a message of more than freeMessage bytes may take to arrive,
-	// its wait for memory included, and a response to be read. Calls have shorter deadlines.
-	messageTimeout = 10 * time.Second
+	// DefaultTimeout is the default of Lender.Timeout: the longest request of the contract.
+	DefaultTimeout = 10 * time.Second
 )
 
 // charge is what a message is charged to.
@@ -41,7 +40,7 @@
 		return nil, charge{}, fmt.Errorf("receive: %w", err)
 	}
 	var m message
-	t := time.AfterFunc(messageTimeout, func() {
+	t := time.AfterFunc(b.lender.timeout(), func() {
 		b.lender.Budget.Refused(budget.MessageTimeout)
 		b.ws.CloseNow()
 	})
@@ -88,7 +87,7 @@
 	if limit > budget.SmallMessage {
 		next.part = budget.Links
 	}
-	t := time.NewTimer(messageTimeout)
+	t := time.NewTimer(b.lender.timeout())
 	defer t.Stop()
 	if err := b.budget.Acquire(next.part, next.n, t.C); err != nil {
 		b.lender.Budget.Refused(budget.MemoryFull)
@@ -126,9 +125,11 @@
 		}
 	}
 	b.tasks <- struct{}{}
+	b.noteState()
 	b.start(func() {
 		defer func() {
 			<-b.tasks
+			b.noteState()
 			b.release(c)
 			b.budget.Release(budget.SmallLinks, cost)
 		}()
@@ -140,6 +141,21 @@
 	})
 }
 
+// noteState tells the budget whether the link is in use. Only idle links may be closed for
+// others.
+func (b *borrowerLink) noteState() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case len(b.loans) > 0:
+		b.budget.SetState(budget.InTransaction)
+	case len(b.tasks) > 0:
+		b.budget.SetState(budget.Busy)
+	default:
+		b.budget.SetState(budget.Idle)
+	}
+}
+
 // refuse answers a call that is not run. The link is not read from meanwhile.
 func (b *borrowerLink) refuse(q request) {
 	body, err := encode(response{Seq: q.Seq, Failure: failOverloaded})
@@ -153,7 +169,7 @@
 
 // send sends a response, and charges a large one until it is sent.
 func (b *borrowerLink) send(body []byte) error {
-	ctx, cancel := context.WithTimeout(b.ctx, messageTimeout)
+	ctx, cancel := context.WithTimeout(b.ctx, b.lender.timeout())
 	defer cancel()
 	if n := len(body); n > freeMessage {
 		b.budget.BeginAnswer(budget.LinkAnswers, n)
@@ -168,3 +184,17 @@
 	}
 	return nil
 }
+
+func (l *Lender) timeout() time.Duration {
+	if l.Timeout == 0 {
+		return DefaultTimeout
+	}
+	return l.Timeout
+}
+
+func (l *Lender) linkCalls() int {
+	if l.LinkCalls == 0 {
+		return DefaultLinkCalls
+	}
+	return l.LinkCalls
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -58,6 +58,8 @@
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	// Heartbeat returns the next heartbeat; Mesh fills in From and Known.
 	Heartbeat func() Heartbeat
+	// HTTP has the limits of requests to open a link. Its HeaderTimeout is set by Run.
+	HTTP httplimit.Limits
 	// OnHeartbeat is called for each heartbeat from a peer.
 	OnHeartbeat func(Heartbeat)
 	// Revision returns this host's revision of the declared state.
@@ -101,7 +103,8 @@
 	m.ctx = m.t.Context(context.Background())
 	m.links = make(map[string]*link)
 	m.peers = make(map[core.HostID]*Peer)
-	srv := httplimit.Server(http.HandlerFunc(m.accept), writeTimeout)
+	m.HTTP.HeaderTimeout = writeTimeout
+	srv := httplimit.Server(http.HandlerFunc(m.accept), m.HTTP)
 	m.t.Go(func() error {
 		<-m.t.Dying()
 		return srv.Close()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,15 @@
 	// last, AnswerTimeoutMS how long it may leave an answer unread.
 	MessageTimeoutMS int64 `json:"message_timeout_ms,omitempty"`
 	AnswerTimeoutMS  int64 `json:"answer_timeout_ms,omitempty"`
+	// SlowAfterMS is how long a message may be received, or an answer be unread, before its
+	// connection can be closed because others wait for the memory.
+	SlowAfterMS int64 `json:"slow_after_ms,omitempty"`
+	// HTTPTimeoutMS is for a request to the ports of operators and peers and its answer,
+	// HTTPHeaderBytes for its header.
+	HTTPTimeoutMS   int64 `json:"http_timeout_ms,omitempty"`
+	HTTPHeaderBytes int64 `json:"http_header_bytes,omitempty"`
+	// CancelsPerS is how many cancel requests are forwarded to the other hosts in a second.
+	CancelsPerS int64 `json:"cancels_per_s,omitempty"`
 }
 
 // Values of Settings.ReadPolicy. ReadSession routes by session consistency;
@@ -80,6 +89,10 @@
 		// contract reaches them.
 		MessageTimeoutMS: 30_000,
 		AnswerTimeoutMS:  30_000,
+		SlowAfterMS:      5000,
+		HTTPTimeoutMS:    30_000,
+		HTTPHeaderBytes:  8 << 10,
+		CancelsPerS:      100,
 	}
 }
 
@@ -159,6 +172,10 @@
 		{"max_fds", s.MaxFDs, 0, 1 << 20},
 		{"message_timeout_ms", s.MessageTimeoutMS, 1000, 600_000},
 		{"answer_timeout_ms", s.AnswerTimeoutMS, 1000, 600_000},
+		{"slow_after_ms", s.SlowAfterMS, 100, 600_000},
+		{"http_timeout_ms", s.HTTPTimeoutMS, 1000, 600_000},
+		{"http_header_bytes", s.HTTPHeaderBytes, 1 << 10, 1 << 20},
+		{"cancels_per_s", s.CancelsPerS, 1, 1_000_000},
 	} {
 		if f.value < f.low || f.value > f.high {
 			return invalid(f.name, fmt.Sprint(f.value), fmt.Sprintf("%d to %d", f.low, f.high))
