budget: no additional reading of the clock for small messages

TestWithinTheContract: 300 idle sessions, a late START and 8 messages of 1 MiB at once cause no refusal.

--- a/internal/abuse/entry_test.go
+++ b/internal/abuse/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os/exec"
@@ -272,3 +273,43 @@
 	})
 	e.mustBeWell()
 }
+
+// TestWithinTheContract guards against limits that clients within the contract reach: many
+// idle sessions, a START that comes late, and some messages of 1 MiB at once, in pieces.
+func TestWithinTheContract(t *testing.T) {
+	e := startEntry(t, manyFDs)
+	late := dialTest(t, e.callers)
+	each(300, func(int) { e.open() })
+	each(8, func(i int) {
+		c, err := standin.Connect(e.callers, "latest", serveTimeout)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		c.Close()
+		nc := e.open()
+		inPieces(nc, fmt.Sprintf("QUERY %d WRITE 1 %s\r\n", i, bulk), 64<<10)
+		_ = nc.SetReadDeadline(time.Now().Add(serveTimeout))
+		if n, err := nc.Read(make([]byte, 100)); err != nil {
+			t.Errorf("%d bytes of an answer: %v", n, err)
+		}
+	})
+	push(late, []byte("START latest application\r\n"))
+	_ = late.SetReadDeadline(time.Now().Add(serveTimeout))
+	if _, err := late.Read(make([]byte, 100)); err != nil {
+		t.Errorf("a late START is not answered: %v", err)
+	}
+	e.mustBeWell()
+	resp, err := http.Get("http://" + e.lend + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.Contains(string(body), "cumintrestle_budget_bytes") {
+		t.Errorf("the metrics of the budget are missing: %v", err)
+	}
+	if strings.Contains(string(body), "cumintrestle_budget_refusals_total{") {
+		t.Error("the budget has refused a client within the contract")
+	}
+}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -131,9 +131,11 @@
 
 	shares  Shares
 	limited atomic.Bool
-	mu      sync.Mutex
-	parts   [numParts]part
-	pools   [numKinds]pool
+	// order numbers the changes of connections to idle.
+	order atomic.Uint64
+	mu    sync.Mutex
+	parts [numParts]part
+	pools [numKinds]pool
 }
 
 // part is the state of a part of the memory.
--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -94,8 +94,9 @@
 	evict func()
 
 	state atomic.Int32
-	// since is when the state was set, in Unix ns.
-	since atomic.Int64
+	// since orders the connections by when they last became idle. It is not a time, because
+	// reading the clock would add to each small message.
+	since atomic.Uint64
 
 	// The following are guarded by the budget's mutex.
 	startedFlag, gone bool
@@ -114,7 +115,7 @@
 		return nil
 	}
 	c := &Conn{b: b, kind: k, source: source, evict: evict}
-	c.since.Store(b.Now().UnixNano())
+	c.since.Store(b.order.Add(1))
 	b.mu.Lock()
 	p := &b.pools[k]
 	var victims []*Conn
@@ -254,7 +255,7 @@
 	}
 	c.state.Store(int32(s))
 	if s != Busy {
-		c.since.Store(c.b.Now().UnixNano())
+		c.since.Store(c.b.order.Add(1))
 	}
 }
 
