caller: requests that run are not slow, and Stop ends waits for memory

A request counted as received until its response was sent, so a statement of more than slow_after_ms could be closed while it ran. Stop waited for sessions that wait for memory, up to message_timeout_ms; the last message of a session had the time limit of answers instead of one second. Found by reading.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// TestWaitersBySource guards against a crowd of one address that waits before all others.
+func TestWaitersBySource(t *testing.T) {
+	h := newHarness(1, 0)
+	half := h.parts[LargeMessages].limit / 2
+	first, second := h.open("first", "a"), h.open("second", "a")
+	h.hold(first, LargeMessages, half)
+	h.hold(second, LargeMessages, half)
+	var waiters []*waiter
+	for _, source := range []string{"a", "a", "b"} {
+		waiters = append(waiters, &waiter{c: h.open("waits", source), n: half, ready: make(chan struct{})})
+	}
+	h.parts[LargeMessages].waiters = slices.Clone(waiters)
+	for i, want := range [][]bool{{false, false, true}, {true, false, true}} {
+		[]*Conn{first, second}[i].Release(LargeMessages, int(half))
+		for n, w := range waiters {
+			if w.done != want[n] {
+				t.Errorf("release %d: waiter %d is served: %t, want %t", i, n, w.done, want[n])
+			}
+		}
+	}
+}
+
 // TestSlowMessageIsClosed guards against slow senders that hold the memory of the others.
 func TestSlowMessageIsClosed(t *testing.T) {
 	h := newHarness(1, 0)
--- a/internal/caller/intake.go
+++ b/internal/caller/intake.go
@@ -29,6 +29,8 @@
 	answerFactor = 3
 	// freeWrite is the size up to which an unread answer is part of a connection's cost.
 	freeWrite = 16 << 10
+	// fatalTimeout is how long the last message of a session may take to be sent.
+	fatalTimeout = time.Second
 )
 
 // intake is what a session is charged for its current request and the response to it.
@@ -118,7 +120,6 @@
 
 // endRequest ends the charge of a request and its response.
 func (c *callerSession) endRequest() {
-	c.budget.EndMessage()
 	c.budget.Release(c.in.part, c.in.held)
 	c.endAnswer()
 	c.in = intake{}
@@ -154,7 +155,11 @@
 // Write is part of io.Writer.
 func (w callerWriter) Write(body []byte) (int, error) {
 	c := w.c
-	if limit := c.srv.AnswerTimeout; limit > 0 {
+	limit := c.srv.AnswerTimeout
+	if c.ending {
+		limit = fatalTimeout
+	}
+	if limit > 0 {
 		_ = c.conn.SetWriteDeadline(time.Now().Add(limit))
 	}
 	if len(body) > freeWrite {
--- a/internal/caller/intake_test.go
+++ b/internal/caller/intake_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+// TestStopEndsWait guards against a server that does not stop while a request waits for
+// memory, and against waiting that continues after it.
+func TestStopEndsWait(t *testing.T) {
+	c, client := newTestSession(t, 1)
+	c.srv.MessageTimeout = time.Minute
+	for c.srv.Budget.Reserve(budget.SmallMessages, 1000) == nil {
+	}
+	go func() { _, _ = client.Write([]byte("Q\x00\x00\x20\x00SELECT")) }()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.nextBatch()
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		t.Fatalf("the request does not wait: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	c.budget.Close()
+	if err := <-ended; result.CodeOf(err) != result.QueueFull {
+		t.Errorf("the wait ends with %v, want %d", err, result.QueueFull)
+	}
+}
+
 // TestSlowRequest guards against a request that holds memory for ever.
 func TestSlowRequest(t *testing.T) {
 	c, client := newTestSession(t, 0)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -125,6 +125,8 @@
 	s.mu.Lock()
 	for _, c := range s.sessions {
 		_ = c.conn.Close()
+		// Ends a wait for memory.
+		c.budget.Close()
 	}
 	s.mu.Unlock()
 	_ = s.t.Wait()
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -27,6 +27,8 @@
 	reader *pgframe.Reader
 	budget *budget.Conn
 	in     intake
+	// ending is set before the last message of the session is sent.
+	ending bool
 	// authenticated is set once the caller has proved who it is.
 	authenticated bool
 	key           sessionKey
@@ -85,6 +87,7 @@
 			c.sendFatal(err)
 			return
 		}
+		c.budget.EndMessage()
 		if err := c.serveRequest(ctx, b); err != nil {
 			c.sendFatal(err)
 			return
@@ -157,6 +160,7 @@
 	defer c.mu.Unlock()
 	if c.idle && c.tx == nil {
 		c.interrupted = true
+		c.budget.Interrupt()
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -204,7 +208,7 @@
 		return
 	}
 	c.sendError(err, "FATAL")
-	_ = c.conn.SetWriteDeadline(time.Now().Add(time.Second))
+	c.ending = true
 	_ = c.be.Flush()
 }
 
