budget: shares of PostgreSQL follow the measured cost of its sessions

An idle PostgreSQL session takes 28 KiB, not 8: trial with memory_mb 136 and max_fds 3010, 800 sessions, 44 MiB. Clients get 15% of the memory for their connections there, and large messages and answers less.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -52,6 +52,9 @@
 type Shares struct {
 	Parts       [numParts]int64
 	Connections [numKinds]int64
+	// ClientCost is what a session without a large message takes, in bytes: buffers, stacks
+	// and its state.
+	ClientCost int64
 }
 
 // LineShares is for hosts of the line protocol, whose messages have at most 1 MiB, and
@@ -65,12 +68,16 @@
 			SmallLinks: 4, Links: 8, LinkAnswers: 4, Feeds: 2,
 		},
 		Connections: [numKinds]int64{Clients: 8, Hosts: 12, Checks: 1},
+		// 600 idle sessions took 7 KiB each.
+		ClientCost: 8 << 10,
 	}
 	PostgresShares = Shares{
 		Parts: [numParts]int64{
-			SmallMessages: 4, LargeMessages: 24, SmallInTransaction: 2, LargeInTransaction: 8, Answers: 16, SessionState: 5,
+			SmallMessages: 4, LargeMessages: 19, SmallInTransaction: 2, LargeInTransaction: 8, Answers: 14, SessionState: 5,
 		},
-		Connections: [numKinds]int64{Clients: 8, Hosts: 2, Checks: 1},
+		Connections: [numKinds]int64{Clients: 15, Hosts: 2, Checks: 1},
+		// 800 idle sessions took 28 KiB each.
+		ClientCost: 28 << 10,
 	}
 )
 
--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -35,10 +35,11 @@
 // holder may have 860 of them.
 var descriptorShares = [numKinds]int{Clients: 6, Hosts: 7, Checks: 1}
 
-// connectionCosts is what a connection takes in bytes, without its messages: buffers and
-// stacks. Measured with 600 connections: 7 KiB for an idle session, 31 KiB for a link with
-// its subscriber.
-var connectionCosts = [numKinds]int64{Clients: 8 << 10, Hosts: 32 << 10, Checks: 16 << 10}
+const (
+	// hostCost is what a link takes in bytes, without its messages: 600 links with their
+	// subscribers took 31 KiB each. checkCost is the same for an HTTP connection.
+	hostCost, checkCost = 32 << 10, 16 << 10
+)
 
 // pool is the state of the connections of a kind.
 type pool struct {
@@ -52,6 +53,7 @@
 
 // sizePools sizes the pools: by descriptors, and by what the connections take of the memory.
 func (b *Budget) sizePools(memory int64, descriptors int) {
+	costs := [numKinds]int64{Clients: b.shares.ClientCost, Hosts: hostCost, Checks: checkCost}
 	for k := range b.pools {
 		p := &b.pools[k]
 		p.started, p.sources = make(map[*Conn]struct{}), make(map[string]int)
@@ -61,7 +63,7 @@
 			n = max(descriptors-reservedFDs, descriptors/4) * descriptorShares[k] / 16
 		}
 		if memory > 0 {
-			n = min(n, int(memory*b.shares.Connections[k]/100/connectionCosts[k]))
+			n = min(n, int(memory*b.shares.Connections[k]/100/costs[k]))
 		}
 		p.maxUnstarted = max(n/unstartedShare, 4)
 		p.maxStarted = max(n-p.maxUnstarted, 4)
