--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -335,7 +335,7 @@
 			h.reset()
 			deadline := h.Now().Add(time.Second)
 			if kind == "borrowed" {
-				s, _ := h.Open(string(g))
+				s, _ := h.Open(string(g), "")
 				if o := s.Run(engine.Statement{ID: "1", Kind: engine.Read, Text: "READ 7"}); o.Code != engine.Done {
 					t.Errorf("%s: a read ends with %s: %s", kind, o.Code, o.Reason)
 				}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -13,8 +13,10 @@
 
 	"github.com/coder/websocket"
 
+	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/guard"
+	"github.com/cumintrestle/cumintrestle/internal/httplimit"
 	"github.com/cumintrestle/cumintrestle/internal/ratelimit"
 )
 
@@ -33,6 +35,13 @@
 	// Unavailable reports whether this host refuses new loans, because it is shutting down,
 	// or because it has just started and does not know the endpoints yet.
 	Unavailable func() bool
+	// Budget bounds the memory of calls. It may be nil.
+	Budget *budget.Budget
+	// Timeout is how long a message of a link may take to arrive, its wait for memory included,
+	// and a response to be read. LinkCalls is how many calls of a link run at the same time; a
+	// host that has more in flight is not read from until some have ended. 0 means the default.
+	Timeout   time.Duration
+	LinkCalls int
 
 	// handles is the last handle given out. It begins at a random number, so that handles
 	// don't come again after a restart.
@@ -69,6 +78,9 @@
 	lender *Lender
 	ws     *websocket.Conn
 	ctx    context.Context
+	budget *budget.Conn
+	// tasks has a place for each task of the link that may run at the same time.
+	tasks chan struct{}
 
 	mu sync.Mutex
 	// loans holds the loans with an open transaction, by handle.
@@ -86,10 +98,12 @@
 	ws.SetReadLimit(maxMessage)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	b := &borrowerLink{lender: l, ws: ws, ctx: ctx, loans: make(map[uint64]*loan)}
+	b := &borrowerLink{
+		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, l.linkCalls()), loans: make(map[uint64]*loan),
+	}
 	defer b.abortLoans()
 	for {
-		_, body, err := ws.Read(ctx)
+		body, c, err := b.receive()
 		if err != nil {
 			return
 		}
@@ -98,11 +112,7 @@
 			l.Engine.ReportMalformed("borrower", err)
 			return
 		}
-		if q.Verb == verbRelease {
-			b.spawn(func() { b.abortLoan(q.Handle) })
-			continue
-		}
-		b.spawn(func() { b.serve(q) })
+		b.dispatch(q, c)
 	}
 }
 
@@ -112,13 +122,13 @@
 	defer b.mu.Unlock()
 	b.closed = true
 	for handle := range b.loans {
-		b.spawn(func() { b.abortLoan(handle) })
+		b.start(func() { b.abortLoan(handle) })
 	}
 }
 
-// spawn runs a task of the link in its own goroutine. A panic closes the link, which
+// start runs a task of the link in its own goroutine. A panic closes the link, which
 // also ends its loans.
-func (b *borrowerLink) spawn(f func()) {
+func (b *borrowerLink) start(f func()) {
 	go guard.Run("link of a borrower", func(task, cause string) {
 		b.lender.Engine.ReportPanic(task, cause)
 		b.ws.CloseNow()
@@ -155,7 +165,7 @@
 	a.Seq = q.Seq
 	body, err := encodeResponse(a, b.lender.Accounts)
 	if err == nil {
-		err = b.ws.Write(b.ctx, websocket.MessageBinary, body)
+		err = b.send(body)
 	}
 	if err != nil {
 		b.ws.CloseNow()
