--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -376,6 +376,7 @@
 		case h.retryAll || o.retryAt > 0 && now >= o.retryAt:
 			m.decide(h, o, h.spender.Retry(now, account))
 		case now >= o.giveUp:
+			m.longestWait = max(m.longestWait, now-o.start)
 			m.refused["unavailable"]++
 			h.spender.Abandon(now, account, true)
 		default:
@@ -390,6 +391,9 @@
 
 func (m *model) decide(h *modelHost, o modelOp, v Verdict) {
 	now := m.now + h.offset
+	if v.Kind != Unknown {
+		m.longestWait = max(m.longestWait, now-o.start)
+	}
 	switch v.Kind {
 	case Allowed:
 		if at, ok := h.grantedAt[v.Until]; ok {
@@ -397,7 +401,6 @@
 		} else {
 			m.charged = append(m.charged, m.now)
 		}
-		m.longestWait = max(m.longestWait, now-o.start)
 		o.until, o.sendAt = v.Until, now
 		if m.sendLate {
 			o.sendAt = max(v.Until-modelStep, now)
