--- a/internal/ratelimit/bound_test.go
+++ b/internal/ratelimit/bound_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"math/rand"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // randomRun returns the check of a run with the given faults, without a safeguard.
@@ -25,6 +28,12 @@
 	hosts := float64(len(m.hosts))
 	load, period := []float64{1.2, 2, 5}[rng.Intn(3)], time.Duration(1+rng.Intn(8))*time.Second
 	bursts := rng.Intn(3) == 0
+	for i := range rng.Intn(3) {
+		m.accounts = append(m.accounts, &accountRun{name: session.Account(fmt.Sprint("other-", i))})
+	}
+	for _, h := range m.hosts {
+		m.start(h)
+	}
 	m.sendLate = rng.Intn(2) == 0
 	m.demand = func(now time.Duration, host int) float64 {
 		switch {
@@ -70,21 +79,21 @@
 	props.TestingRun(t)
 }
 
-// TestFixedRuns keeps random runs that exceeded the bounds: with a safeguard removed, or because limits that changed twice
-// at once reached the hosts of the model in different orders.
+// TestFixedRuns keeps random runs that exceed the bounds with a safeguard removed, and the faults of runs that exceeded
+// them because limits that changed twice at once reached the hosts of the model in different orders.
 func TestFixedRuns(t *testing.T) {
 	tests := []struct {
 		seed   int64
 		remove safeguard
 		faults []uint32
 	}{
-		{200007, chargeSilentHosts, []uint32{
-			611483364, 3752759117, 665327001, 1983234240, 3825966512, 1602971707, 3590581141, 1840297824, 2124691300,
-			335808645, 2613827398, 778082940, 4029940577, 1443428235,
+		{200068, chargeSilentHosts, []uint32{
+			700009003, 572944254, 945901108, 4097762707, 1075989660, 1614825478, 1228219256, 1743649505, 3102760944,
+			741908972, 1674108381, 1821514190,
 		}},
-		{200016, emptyBucketsAtStart, []uint32{
-			2913193988, 1655851039, 2529173745, 650689949, 4074658884, 775173473, 1213700392, 834998015, 746455185,
-			1760390812, 3696960692, 3119039507,
+		{200101, emptyBucketsAtStart, []uint32{
+			1126409871, 2029004767, 803685429, 2395713543, 615963193, 4231128074, 241720908, 2439084371, 3121111444,
+			1792265004, 1059828248, 1708171561, 1071678976, 3516763017, 228740869,
 		}},
 		{200139, fallbackEndsWithLease, []uint32{
 			841757399, 2878362953, 37912028, 80841170, 455051611, 794617928, 3656737969,
@@ -189,7 +198,7 @@
 				if remove != noneRemoved && err == nil {
 					t.Error("without the safeguard, no window exceeds the bounds")
 				}
-				t.Logf("removed %d: %d operations, %v", remove, len(m.sent), err)
+				t.Logf("removed %d: %d operations, %v", remove, m.sent, err)
 			}
 		})
 	}
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -45,7 +45,8 @@
 	return r, true
 }
 
-// NextRequest returns the time at which Request is due if there is no further demand.
+// NextRequest returns the time at which Request is due if there is no further demand. It is beyond any clock if none
+// is due then.
 func (s *Spender) NextRequest(time.Duration) time.Duration {
 	if s.inFlight {
 		return s.lastSent + answerTimeout
--- a/internal/ratelimit/granter.go
+++ b/internal/ratelimit/granter.go
@@ -58,7 +58,7 @@
 	g.events = nil
 }
 
-// SetLimits replaces the limits.
+// SetLimits replaces the limits. The map must not be changed afterwards.
 func (g *Granter) SetLimits(now time.Duration, limits map[session.Account]Limit) {
 	g.advance(now)
 	g.limits = limits
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -42,6 +42,7 @@
 }
 
 type modelOp struct {
+	account                               *accountRun
 	start, sendAt, until, retryAt, giveUp time.Duration
 }
 
@@ -58,7 +59,7 @@
 	waiting     []modelOp
 	allowed     []modelOp
 	sentAt      map[Sequence]time.Duration
-	debt        float64
+	debt        []float64
 	retryAll    bool
 	// limitVersion is the length of the model's history at the last change of the limit that arrived.
 	limitVersion int
@@ -88,11 +89,11 @@
 	history []limitChange
 	limit   Limit
 	bounds  Bounds
-	sent    []time.Duration
-	// charged holds the times at which the tokens of allowed operations were granted or generated.
-	charged []time.Duration
-	refused map[string]int
-	remove  safeguard
+	// accounts all have the same limit. sent is the sum of their operations.
+	accounts []*accountRun
+	sent     int
+	refused  map[string]int
+	remove   safeguard
 	// demand returns the rate of new operations at a host.
 	demand func(now time.Duration, host int) float64
 	// sendLate delays each operation until its token is about to end, poisson makes the demand irregular.
@@ -107,10 +108,18 @@
 
 const account session.Account = "a"
 
+// accountRun is what the hosts did for an account.
+type accountRun struct {
+	name session.Account
+	sent []time.Duration
+	// charged holds the times at which the tokens of allowed operations were granted or generated.
+	charged []time.Duration
+}
+
 func newModel(seed int64, hosts int, l Limit, b Bounds) *model {
 	m := &model{
 		rng: rand.New(rand.NewSource(seed)), now: time.Second, limit: l, bounds: b, refused: make(map[string]int), poisson: true,
-		row: leaseRow{holder: -1}, history: []limitChange{{0, l}},
+		row: leaseRow{holder: -1}, accounts: []*accountRun{{name: account}}, history: []limitChange{{0, l}},
 	}
 	m.demand = func(time.Duration, int) float64 { return 3 * l.Rate / float64(hosts) }
 	for i := range hosts {
@@ -121,11 +130,19 @@
 	return m
 }
 
+func (m *model) limits() Limits {
+	out := make(Limits)
+	for _, a := range m.accounts {
+		out[a.name] = m.limit
+	}
+	return out
+}
+
 // start starts a process of a host.
 func (m *model) start(h *modelHost) {
 	h.incarnation++
 	h.spender = &Spender{Bounds: m.bounds, Host: fmt.Sprint("host-", h.id), Incarnation: h.incarnation}
-	h.spender.SetLimits(Limits{account: m.limit})
+	h.spender.SetLimits(m.limits())
 	h.granter, h.waiting, h.allowed, h.inbox = nil, nil, nil, nil
 	h.sentAt = make(map[Sequence]time.Duration)
 	h.grantedAt = make(map[time.Duration]time.Duration)
@@ -139,7 +156,7 @@
 		m.deliver()
 		for _, h := range m.hosts {
 			if h.frozenUntil <= m.now || m.pauses > 0 {
-				h.debt += m.arrivals(h)
+				m.arrive(h)
 			}
 			if h.frozenUntil > m.now {
 				continue
@@ -190,22 +207,22 @@
 		case changeLimit:
 			m.limit = f.limit
 			m.history = append(m.history, limitChange{m.now, f.limit}, limitChange{m.now + configDelay, f.limit})
-			version := len(m.history)
+			limits, version := m.limits(), len(m.history)
 			for _, h := range m.hosts {
-				m.post(h, time.Duration(m.rng.Int63n(int64(configDelay))), func() { m.setLimit(h, f.limit, version) })
+				m.post(h, time.Duration(m.rng.Int63n(int64(configDelay))), func() { m.setLimit(h, limits, version) })
 			}
 		}
 	}
 }
 
-func (m *model) setLimit(h *modelHost, l Limit, version int) {
+func (m *model) setLimit(h *modelHost, l Limits, version int) {
 	if version < h.limitVersion {
 		return
 	}
 	h.limitVersion = version
-	h.spender.SetLimits(Limits{account: l})
+	h.spender.SetLimits(l)
 	if h.granter != nil {
-		h.granter.SetLimits(m.now+h.offset, Limits{account: l})
+		h.granter.SetLimits(m.now+h.offset, l)
 	}
 }
 
@@ -342,19 +359,25 @@
 	h.leaseEnd, h.renewAt = m.now+leaseTime+h.offset, m.now+renewEvery
 	h.granter = &Granter{Bounds: m.bounds}
 	h.granter.Start(m.now+h.offset, rec)
-	h.granter.SetLimits(m.now+h.offset, Limits{account: m.limit})
+	h.granter.SetLimits(m.now+h.offset, m.limits())
 	if m.remove == emptyBucketsAtStart {
 		h.granter.term.start -= time.Hour
 	}
 }
 
-// arrivals returns the number of operations that arrive at a host in a step.
-func (m *model) arrivals(h *modelHost) float64 {
-	n := m.demand(m.now, h.id) * modelStep.Seconds()
-	if m.poisson {
-		n *= m.rng.ExpFloat64()
+// arrive adds the operations that arrive at a host in a step. All accounts but the first have demand at times only.
+func (m *model) arrive(h *modelHost) {
+	h.debt = append(h.debt, make([]float64, len(m.accounts)-len(h.debt))...)
+	for i := range m.accounts {
+		if i > 0 && (m.now/time.Second+time.Duration(i))%(6*time.Duration(i*i)) >= 3 {
+			continue
+		}
+		n := m.demand(m.now, (h.id+i)%len(m.hosts)) * modelStep.Seconds()
+		if m.poisson {
+			n *= m.rng.ExpFloat64()
+		}
+		h.debt[i] += n
 	}
-	return n
 }
 
 // stepOps sends allowed operations, and decides about waiting and new ones.
@@ -365,7 +388,8 @@
 			return false
 		}
 		if now < o.until {
-			m.sent = append(m.sent, m.now)
+			m.sent++
+			o.account.sent = append(o.account.sent, m.now)
 		}
 		return true
 	})
@@ -374,18 +398,21 @@
 	for _, o := range waiting {
 		switch {
 		case h.retryAll || o.retryAt > 0 && now >= o.retryAt:
-			m.decide(h, o, h.spender.Retry(now, account))
+			m.decide(h, o, h.spender.Retry(now, o.account.name))
 		case now >= o.giveUp:
 			m.longestWait = max(m.longestWait, now-o.start)
 			m.refused["unavailable"]++
-			h.spender.Abandon(now, account, true)
+			h.spender.Abandon(now, o.account.name, true)
 		default:
 			h.waiting = append(h.waiting, o)
 		}
 	}
 	h.retryAll = false
-	for ; h.debt >= 1; h.debt-- {
-		m.decide(h, modelOp{start: now, giveUp: now + h.spender.WaitLimit(now, account)}, h.spender.Take(now, account))
+	for i, a := range m.accounts {
+		for ; i < len(h.debt) && h.debt[i] >= 1; h.debt[i]-- {
+			o := modelOp{account: a, start: now, giveUp: now + h.spender.WaitLimit(now, a.name)}
+			m.decide(h, o, h.spender.Take(now, a.name))
+		}
 	}
 }
 
@@ -397,9 +424,9 @@
 	switch v.Kind {
 	case Allowed:
 		if at, ok := h.grantedAt[v.Until]; ok {
-			m.charged = append(m.charged, at)
+			o.account.charged = append(o.account.charged, at)
 		} else {
-			m.charged = append(m.charged, m.now)
+			o.account.charged = append(o.account.charged, m.now)
 		}
 		o.until, o.sendAt = v.Until, now
 		if m.sendLate {
--- a/internal/ratelimit/modelcheck_test.go
+++ b/internal/ratelimit/modelcheck_test.go
@@ -4,15 +4,25 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
 )
 
 // check returns the first window in which more operations were sent than the proof in account-limits.md says, which is
 // at most what the bounds allow. A lowered limit counts one window after it came into force.
 func (m *model) check() error {
+	for _, a := range m.accounts {
+		if err := m.checkWindows(a.sent); err != nil {
+			return fmt.Errorf("%s: %w", a.name, err)
+		}
+	}
+	return nil
+}
+
+func (m *model) checkWindows(sent []time.Duration) error {
 	window := m.bounds.Window
 	first := 0
-	for i, t := range m.sent {
-		for m.sent[first] <= t-window {
+	for i, t := range sent {
+		for sent[first] <= t-window {
 			first++
 		}
 		proved := 0.0
@@ -33,7 +43,16 @@
 // allowed operations conform to the bucket, whatever their validity. A host may generate tokens for up to skewMargin
 // before it is charged; it makes up for that when it reports, unless it restarts.
 func (m *model) checkCharges() error {
-	slices.Sort(m.charged)
+	for _, a := range m.accounts {
+		if err := m.checkBucket(a.charged); err != nil {
+			return fmt.Errorf("%s: %w", a.name, err)
+		}
+	}
+	return nil
+}
+
+func (m *model) checkBucket(charged []time.Duration) error {
+	slices.Sort(charged)
 	restarts := 0
 	for _, f := range m.faults {
 		if f.kind == restart || f.kind == crash {
@@ -43,7 +62,7 @@
 	allowed := m.limit.depth() + m.limit.Rate*skewMargin.Seconds()*float64(1+restarts) + 1
 	// lowest is the least of the operations before minus the rate, over all starts of an interval.
 	lowest := math.Inf(1)
-	for i, t := range m.charged {
+	for i, t := range charged {
 		line := float64(i) - m.limit.Rate*t.Seconds()
 		lowest = min(lowest, line)
 		if n := line + 1 - lowest; n > allowed {
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -75,12 +75,12 @@
 				m.demand = conforming(m, l, bursts)
 				m.run(60 * time.Second)
 				if len(m.refused) > 0 {
-					t.Errorf("refused %v of %d", m.refused, len(m.sent))
+					t.Errorf("refused %v of %d", m.refused, m.sent)
 				}
 				if err := m.check(); err != nil {
 					t.Error(err)
 				}
-				t.Logf("%d operations, %d requests, longest wait %v", len(m.sent), m.requests, m.longestWait)
+				t.Logf("%d operations, %d requests, longest wait %v", m.sent, m.requests, m.longestWait)
 				if m.longestWait > maxWait/2 {
 					t.Errorf("an operation waited %v", m.longestWait)
 				}
@@ -95,7 +95,7 @@
 	for _, l := range []Limit{{296, 296}, {80, 10}, {5, 5}} {
 		m := newModel(5, 20, l, DefaultBounds())
 		m.run(61 * time.Second)
-		part := float64(len(m.sent)) / (60*l.Rate + l.Burst)
+		part := float64(m.sent) / (60*l.Rate + l.Burst)
 		t.Logf("%v: used %.3f of the limit, refused %v, longest wait %v", l, part, m.refused, m.longestWait)
 		if part < 0.95 || m.longestWait > time.Second || m.refused["unavailable"] > 0 {
 			t.Errorf("%v: used %.3f of the limit, longest wait %v, refused %v", l, part, m.longestWait, m.refused)
@@ -336,15 +336,15 @@
 	}
 	m.run(60 * time.Second)
 	if len(m.refused) > 0 {
-		t.Errorf("refused %v of %d", m.refused, len(m.sent))
+		t.Errorf("refused %v of %d", m.refused, m.sent)
 	}
-	t.Logf("%d operations, %d requests, longest wait %v", len(m.sent), m.requests, m.longestWait)
-	before := len(m.sent)
+	t.Logf("%d operations, %d requests, longest wait %v", m.sent, m.requests, m.longestWait)
+	before := m.sent
 	m.faults = []fault{{kind: freeze, host: -1, at: m.now, time: 14 * time.Second}}
 	m.run(m.now + 13*time.Second)
-	t.Logf("without the granting host: %d of 52 operations", len(m.sent)-before)
-	if len(m.sent)-before < 5 {
-		t.Errorf("%d operations while the granting host is frozen", len(m.sent)-before)
+	t.Logf("without the granting host: %d of 52 operations", m.sent-before)
+	if m.sent-before < 5 {
+		t.Errorf("%d operations while the granting host is frozen", m.sent-before)
 	}
 	if err := m.check(); err != nil {
 		t.Error(err)
--- a/internal/ratelimit/spender.go
+++ b/internal/ratelimit/spender.go
@@ -106,7 +106,7 @@
 	return frac
 }
 
-// SetLimits replaces the limits.
+// SetLimits replaces the limits. The map must not be changed afterwards.
 func (s *Spender) SetLimits(limits map[session.Account]Limit) {
 	s.limits = limits
 	for a, st := range s.accounts {
