ratelimit: places for hosts in fallback, start level, refill above the rate

Cause: after the loss of the granting host, few hosts of an account had a fallback rate, since the lowest rate was one token per validity; the rates ended with the lease, so that the lease had to be long; after a restart of all hosts the buckets were empty and 0.1 of the rate was granted.

Change: a plan by limit divides what the bounds leave between a validity of 0.4 s, a start level of up to 5 tokens, K hosts that may send one operation at once in fallback, and a refill above the rate. Fallback rates sum up to 0.5 of the rate, have no lowest rate, and last for 12 s from the sending of the last answered request. A granter that takes over grants 0.5 of the rate until the former lease's end plus 12 s, and gives no new rates for a window more. An operation waits for at most 0.6 s after the last answer, or 0.3 s for a generated token. The limit on waiting applies anew after each answer.

It is charged when reported, and the bound reserves K tokens in any case.

--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// recoveryPart is the part of the rate that is granted while fallback rates of a former epoch are in use.
+	// recoveryPart is the part of the rate that is granted while fallback rates of a former epoch may be in use.
 	recoveryPart = 1 - fallbackPart
 	// fallbackFactor is the fallback rate relative to the recent use of an account at a host.
 	fallbackFactor = 1.5
@@ -32,6 +32,7 @@
 type bucket struct {
 	account session.Account
 	limit   Limit
+	plan    plan
 	// at is the time of level and top. level is the number of tokens. top is what level would be if silent
 	// hosts had generated only what they have reported.
 	at         time.Duration
@@ -45,6 +46,10 @@
 	// chargedHosts the number of the latter with a fallback rate.
 	reserved, charged float64
 	chargedHosts      int
+	// holders is the number of hosts with a fallback rate. parked holds the times until which the place of a host
+	// that may have sent its operation in advance stays taken although the host has no rate any more.
+	holders int
+	parked  []time.Duration
 	// entries is the number of hosts with state for this account, use the sum of their recent use.
 	entries int
 	use     float64
@@ -61,8 +66,11 @@
 }
 
 // newBucket returns the bucket of an account that had no use since the start of the term.
-func newBucket(a session.Account, l Limit, now time.Duration, t term) *bucket {
-	b := &bucket{account: a, limit: l, at: t.start, refusedAt: now, loweredAt: math.MinInt64 / 2}
+func newBucket(a session.Account, l Limit, p plan, now time.Duration, t term) *bucket {
+	b := &bucket{account: a, limit: l, plan: p, at: t.start, refusedAt: now, loweredAt: math.MinInt64 / 2}
+	if t.filled {
+		b.level, b.top = p.start, p.start
+	}
 	b.settle(now, t)
 	return b
 }
@@ -72,7 +80,8 @@
 	if now <= b.at {
 		return
 	}
-	refill := b.limit.Rate * t.refillTime(b.at, now).Seconds()
+	reduced := max(min(now, t.reducedUntil)-b.at, 0)
+	refill := b.plan.refill*(now-b.at-reduced).Seconds() + recoveryPart*b.limit.Rate*reduced.Seconds()
 	cost := b.charged * (now - b.at).Seconds()
 	room := b.limit.depth() - b.ahead
 	b.level = min(b.level+refill-cost, max(room, 0))
@@ -88,16 +97,10 @@
 	b.at = now
 }
 
-// refillTime returns the time between two points in a term in which buckets are refilled, as full-rate time.
-func (t term) refillTime(from, to time.Duration) time.Duration {
-	reduced := max(min(to, t.reducedUntil)-from, 0)
-	return to - from - reduced + time.Duration(float64(reduced)*recoveryPart)
-}
-
 // changeLimit sets another limit. The bucket is settled.
-func (b *bucket) changeLimit(now time.Duration, l Limit, window time.Duration) {
+func (b *bucket) changeLimit(now time.Duration, l Limit, p plan, window time.Duration) {
 	old := b.limit
-	b.limit = l
+	b.limit, b.plan = l, p
 	if l.Rate < old.Rate || l.Burst < old.Burst {
 		b.loweredAt = now
 	}
@@ -163,7 +166,9 @@
 	b.changeCharge(e, 0, e.reserved)
 }
 
-// changeCharge changes the rate at which a silent host is charged.
+// changeCharge changes the rate at which a silent host is charged. The operation that it may send at once is charged when
+// it is reported: the bounds reserve a token for it. Charging it in advance refused operations of accounts just below
+// their limit, since slow hosts count as silent for moments.
 func (b *bucket) changeCharge(e *entry, from, to float64) {
 	b.charged += to - from
 	if to > 0 && !e.counted {
@@ -179,7 +184,7 @@
 	if !e.counted {
 		return
 	}
-	e.counted = false
+	e.counted, e.sentAt = false, now
 	b.chargedHosts--
 	unused := e.charged - e.reported
 	// If the bucket would not have been full even without any charge, refunds simply add up.
@@ -201,33 +206,53 @@
 	}
 }
 
-// fallbackRate returns the fallback rate for a host: in proportion to its recent use, at least the lowest useful
-// rate, and at most what other hosts leave.
-func (b *bucket) fallbackRate(e *entry, lowest float64) float64 {
-	if e.use <= 0 {
+// fallbackRate returns the fallback rate for a host: in proportion to its recent use, and at most what other hosts
+// leave.
+func (b *bucket) fallbackRate(e *entry, now time.Duration) float64 {
+	if e.use <= 0 || e.reserved == 0 && !b.hasPlace(now) {
 		return 0
 	}
 	total := fallbackPart * b.limit.Rate
 	rate := fallbackFactor * e.use * min(1, total/(fallbackFactor*max(b.use, e.use)))
-	rate = min(max(rate, lowest), total-(b.reserved-e.reserved))
-	if rate < lowest {
-		return 0
+	return max(min(rate, total-(b.reserved-e.reserved)), 0)
+}
+
+// hasPlace reports whether one more host may have a fallback rate.
+func (b *bucket) hasPlace(now time.Duration) bool {
+	for len(b.parked) > 0 && b.parked[0] <= now {
+		b.parked = b.parked[1:]
+	}
+	return b.holders+len(b.parked) < b.plan.hosts
+}
+
+// changeReserve changes the highest rate that a host may have.
+func (b *bucket) changeReserve(e *entry, rate float64, now, reach time.Duration) {
+	switch {
+	case e.reserved == 0 && rate > 0:
+		b.holders++
+	case e.reserved > 0 && rate == 0:
+		b.holders--
+		if e.counted || now-e.sentAt < reach {
+			// Within one window, another host in its place could send an operation at once as well.
+			b.parked = append(b.parked, now+reach)
+		}
 	}
-	return rate
+	b.reserved += rate - e.reserved
+	e.reserved = rate
 }
 
 // deny returns the time after which a host that was denied n tokens should ask again, the time over which retries
 // should be spread, and whether operations should wait for tokens that other hosts hold ahead.
 func (b *bucket) deny(e *entry, now time.Duration, n float64, t term) (askAgain, spread time.Duration, wait bool) {
-	rate := b.limit.Rate
+	rate := b.plan.refill
 	if now < t.reducedUntil {
-		rate *= recoveryPart
+		rate = b.limit.Rate * recoveryPart
 	}
 	rate -= b.charged
 	if rate <= 0 {
 		return maxAskAgain, maxSpread, false
 	}
-	due := seconds(min((b.promised+n-max(b.level, 0))/rate, maxAskAgain.Seconds()))
+	due := seconds(min((b.promised+n-b.level)/rate, maxAskAgain.Seconds()))
 	if due-seconds(max(b.ahead-b.aheadSilent, 0)/rate) <= graceTime {
 		e.promised = n
 		b.promised += n
@@ -245,9 +270,9 @@
 
 // idle reports whether the bucket is as a new one would be.
 func (b *bucket) idle(now time.Duration, t term) bool {
-	if b.entries > 0 || b.chargedHosts > 0 {
+	if b.entries > 0 || b.chargedHosts > 0 || len(b.parked) > 0 && b.parked[len(b.parked)-1] > now {
 		return false
 	}
 	b.settle(now, t)
-	return b.level >= newBucket(b.account, b.limit, now, t).level-1e-9
+	return b.level >= newBucket(b.account, b.limit, b.plan, now, t).level-1e-9
 }
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -153,5 +153,5 @@
 	// The granting host counts from when it received the request. That is between sentAt and now, so a start
 	// at most skewMargin too early is certain.
 	f.from = max(f.from, max(sentAt, now-skewMargin)+silenceLimit)
-	f.until = max(f.until, sentAt+r.Lease)
+	f.until = max(f.until, sentAt+FallbackTime)
 }
--- a/internal/ratelimit/granter.go
+++ b/internal/ratelimit/granter.go
@@ -21,9 +21,11 @@
 type Recovery struct {
 	// Epoch must be above all former ones.
 	Epoch Epoch
-	// ReducedUntil is the end of the former lease if that has not expired: that of this host's former process,
-	// or one that another host has released.
+	// ReducedUntil is the end of the former lease, whoever held it, plus FallbackTime: until then, hosts that have
+	// not been heard from may use fallback rates of the former epoch.
 	ReducedUntil time.Duration
+	// Filled is true if buckets start with some tokens, which two terms must not do within Bounds.StartInterval.
+	Filled bool
 }
 
 // Granter grants tokens to the hosts. Its exported fields are set before use.
@@ -46,11 +48,12 @@
 type term struct {
 	epoch               Epoch
 	start, reducedUntil time.Duration
+	filled              bool
 }
 
-// Start takes over granting, with empty buckets.
+// Start takes over granting, with buckets that are empty or as full as the bounds permit.
 func (g *Granter) Start(now time.Duration, recovery Recovery) {
-	g.term = term{epoch: recovery.Epoch, start: now, reducedUntil: recovery.ReducedUntil}
+	g.term = term{epoch: recovery.Epoch, start: now, reducedUntil: recovery.ReducedUntil, filled: recovery.Filled}
 	g.now = now
 	g.buckets = make(map[session.Account]*bucket)
 	g.touched.Init()
@@ -65,7 +68,7 @@
 	for a, b := range g.buckets {
 		if l, ok := limits[a]; ok && l != b.limit {
 			b.settle(g.now, g.term)
-			b.changeLimit(g.now, l, g.Bounds.Window)
+			b.changeLimit(g.now, l, g.Bounds.plan(l), g.Bounds.Window)
 		}
 	}
 }
@@ -90,7 +93,8 @@
 		}
 	}
 	g.confirm(h, r.Answered)
-	recovering := g.now < g.term.reducedUntil
+	// A host may use the last whole token of a former rate at its very end, so new rates wait for a window more.
+	recovering := g.term.reducedUntil > 0 && g.now < g.term.reducedUntil+g.reach()
 	resp := Response{
 		Epoch: g.term.epoch, Incarnation: r.Incarnation, Sequence: r.Sequence,
 		Lease: leaseEnd - g.now, Recovering: recovering,
@@ -100,7 +104,7 @@
 		resp.Items = append(resp.Items, g.answer(h, it, r, recovering))
 	}
 	if !recovering {
-		h.leaseEnd = max(h.leaseEnd, leaseEnd)
+		h.fallbackEnd = g.now + FallbackTime
 	}
 	g.schedule(h)
 	g.sweep(h)
@@ -148,6 +152,7 @@
 		e.generated = 0
 	}
 	if n := it.Generated - e.generated; n > 0 {
+		e.sentAt = g.now
 		b.top -= float64(n)
 		if h.phase == silent {
 			e.reported += float64(n)
@@ -197,8 +202,7 @@
 // answer grants tokens and a fallback rate for an account.
 func (g *Granter) answer(h *hostState, it RequestItem, r Request, recovering bool) ResponseItem {
 	out := ResponseItem{Account: it.Account}
-	l, ok := g.limits[it.Account]
-	if !ok {
+	if _, ok := g.limits[it.Account]; !ok {
 		// The host has a limit for the account that has not arrived here yet.
 		out.AskAgain, out.Wait = shareWait, true
 		return out
@@ -219,13 +223,13 @@
 	granted, ahead := b.grant(it)
 	e.ahead += ahead
 	g.stats.Granted += uint64(granted)
-	out.Granted, out.Validity = granted, g.Bounds.Validity(l)
+	out.Granted, out.Validity = granted, b.plan.validity
 	if denied := min(it.Waiting, it.Wanted) - min(granted, it.Waiting); denied > 0 {
 		g.stats.Denied += uint64(denied)
 		out.AskAgain, out.Spread, out.Wait = b.deny(e, g.now, float64(denied), g.term)
 	}
 	if !recovering {
-		out.Fallback = b.fallbackRate(e, g.Bounds.minFallback(l))
+		out.Fallback = b.fallbackRate(e, g.now)
 	}
 	e.fallback = out.Fallback
 	g.reserve(h, e, max(e.reserved, out.Fallback))
@@ -243,7 +247,7 @@
 	if e != nil {
 		return e
 	}
-	e = &entry{bucket: g.bucket(it.Account), silentAt: g.now, chargedAt: g.now}
+	e = &entry{bucket: g.bucket(it.Account), silentAt: g.now, chargedAt: g.now, sentAt: neverSent}
 	if r.Epoch == g.term.epoch {
 		// What it counted before was charged, or is no part of this granter's buckets.
 		e.generated, e.returned = it.Generated, it.Returned
@@ -256,13 +260,17 @@
 func (g *Granter) bucket(a session.Account) *bucket {
 	b := g.buckets[a]
 	if b == nil {
-		b = newBucket(a, g.limits[a], g.now, g.term)
+		l := g.limits[a]
+		b = newBucket(a, l, g.Bounds.plan(l), g.now, g.term)
 		b.element = g.touched.PushBack(b)
 		g.buckets[a] = b
 	}
 	return b
 }
 
+// reach is the longest time between the grants of two operations in one window.
+func (g *Granter) reach() time.Duration { return g.Bounds.Window + maxValidity }
+
 // dropIdle drops some of the buckets that are as a new one would be.
 func (g *Granter) dropIdle() {
 	for range min(idleChecks, g.touched.Len()) {
--- a/internal/ratelimit/hosts.go
+++ b/internal/ratelimit/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -17,6 +18,8 @@
 	// host reports on each account that it uses within idleAfter.
 	sweepInterval = 10 * time.Second
 	staleAfter    = 3 * idleAfter
+	// neverSent is the time of the last operation under a fallback rate if there was none.
+	neverSent = time.Duration(math.MinInt64 / 2)
 )
 
 type phase int
@@ -42,9 +45,9 @@
 	// confirmedAt is the arrival of the last request whose answer the host is known to have received, or that of
 	// the first one.
 	confirmedAt time.Duration
-	// leaseEnd is the latest end of the lease that the host was told.
-	leaseEnd time.Duration
-	entries  map[session.Account]*entry
+	// fallbackEnd is the latest time at which the host may use its fallback rates.
+	fallbackEnd time.Duration
+	entries     map[session.Account]*entry
 	// unconfirmed holds the entries with a fallback rate that the host may not have received.
 	unconfirmed []*entry
 	nextSweep   time.Duration
@@ -78,7 +81,9 @@
 	charged, reported   float64
 	silentAt, chargedAt time.Duration
 	counted             bool
-	aheadSilent         float64
+	// sentAt is the last time at which the host may have sent operations under a fallback rate.
+	sentAt      time.Duration
+	aheadSilent float64
 }
 
 func (e *entry) settleCharge(now time.Duration) {
@@ -118,7 +123,7 @@
 	case answering:
 		h.eventAt = h.confirmedAt + silenceLimit
 	case silent:
-		h.eventAt = max(h.leaseEnd, h.confirmedAt+silenceLimit)
+		h.eventAt = max(h.fallbackEnd, h.confirmedAt+silenceLimit)
 	case gone:
 		h.eventAt = h.lastAt + forgetAfter
 	}
@@ -151,17 +156,20 @@
 
 func (g *Granter) removeEntry(h *hostState, e *entry) {
 	b := e.bucket
+	if g.now >= h.confirmedAt+silenceLimit-skewMargin {
+		e.sentAt = g.now
+	}
 	if h.phase == silent {
 		b.uncharge(e, b.at, false)
 		b.endSilence(e)
 	}
-	b.reserved = max(b.reserved-e.reserved, 0)
+	b.changeReserve(e, 0, g.now, g.reach())
 	b.used(e.ahead)
 	b.clearPromise(e)
 	b.use -= e.use
 	b.entries--
 	if b.entries == 0 {
-		b.reserved, b.use, b.ahead, b.promised = 0, 0, 0, 0
+		b.holders, b.reserved, b.use, b.ahead, b.promised = 0, 0, 0, 0, 0
 	}
 	delete(h.entries, b.account)
 }
@@ -174,8 +182,7 @@
 		e.settleCharge(g.now)
 		b.changeCharge(e, e.reserved, rate)
 	}
-	b.reserved += rate - e.reserved
-	e.reserved = rate
+	b.changeReserve(e, rate, g.now, g.reach())
 }
 
 // sweep drops entries of accounts that the host does not report on any more.
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -18,12 +18,14 @@
 	// silenceLimit is the time without an answer after which a host generates tokens itself, and the time
 	// without a confirmed answer after which the granting host charges for that.
 	silenceLimit = 600 * time.Millisecond
-	minValidity  = 200 * time.Millisecond
-	maxValidity  = 5 * time.Second
+	// FallbackTime is how long a host may use its fallback rates, counted from the sending of its last answered
+	// request. It does not end with the lease, so that the lease can be shorter than the failures that the fallback
+	// bridges.
+	FallbackTime = 12 * time.Second
 	// fallbackPart is the part of an account's rate that all hosts together may generate without the granting
-	// host. The rest is what a restarted granting host may grant while fallback rates of its former epoch are
-	// in use.
-	fallbackPart = 0.9
+	// host. The rest is what a granting host may grant while fallback rates of a former epoch are in use. It covers
+	// the usual use of 40% of the limit either way.
+	fallbackPart = 0.5
 )
 
 // Limit is the rate limit of an account.
@@ -52,17 +54,11 @@
 	return (l.Rate*b.Window.Seconds()+l.Burst)*(1+b.Overage) + b.Slack
 }
 
-// Validity returns how long a token may be used, counted from the sending of the request for it. Operations sent
-// in a window were granted in that window or up to the validity before it, so the validity times the rate is what
-// the bounds allow beyond rate x window + burst.
-func (b Bounds) Validity(l Limit) time.Duration {
-	if l.Rate <= 0 {
-		return maxValidity
-	}
-	excess := b.Allowed(l) - l.Rate*b.Window.Seconds() - l.depth()
-	d := time.Duration(min(excess/l.Rate, maxValidity.Seconds()+1) * float64(time.Second))
-	return min(max(d-skewMargin, minValidity), maxValidity)
-}
+// Validity returns how long a token may be used, counted from the sending of the request for it.
+func (b Bounds) Validity(l Limit) time.Duration { return b.plan(l).validity }
+
+// StartInterval returns the least time between two terms that start with filled buckets.
+func (b Bounds) StartInterval() time.Duration { return b.Window + maxValidity + time.Second }
 
 // depth returns the size of the token bucket. A bucket that never holds a whole token would admit nothing.
 func (l Limit) depth() float64 {
@@ -76,11 +72,3 @@
 func (l Limit) blocked() bool {
 	return l.Rate <= 0 && l.Burst < 1
 }
-
-// minFallback returns the lowest useful fallback rate. A rate generates a token over 1/rate; if that took longer
-// than the validity, hosts that lost the granting host at the same time could all send their first token in one
-// window, although the tokens were generated over several.
-func (b Bounds) minFallback(l Limit) float64 {
-	v := b.Validity(l)
-	return 1 / (v - min(minValidity, v/2)).Seconds()
-}
--- a/internal/ratelimit/spender.go
+++ b/internal/ratelimit/spender.go
@@ -21,10 +21,10 @@
 	reviewInterval = 250 * time.Millisecond
 	// idleAfter is the time after its last operation at which an account is dropped.
 	idleAfter = 10 * time.Second
-	// maxWait bounds the wait of an operation while there is hope for a token, patience its wait for an answer
-	// without a fallback rate.
-	maxWait  = 2 * time.Second
-	patience = time.Second
+	// MaxWait bounds the wait of an operation while the granting host answers.
+	MaxWait = 2 * time.Second
+	// patience bounds the wait for a generated token.
+	patience = 300 * time.Millisecond
 	// neverDue is the time of the next request if none will be due without demand.
 	neverDue = time.Duration(math.MaxInt64)
 	// minRetry is the shortest retry time given to a client.
@@ -180,24 +180,29 @@
 	return s.retryAfter(max(st.emptyUntil-now, 0), unavailableSpread)
 }
 
-// WaitLimit returns how long an operation that begins to wait now should wait before it is refused.
+// WaitLimit returns how much longer an operation that waits now should wait before it is refused. It applies when the
+// operation begins to wait, and anew after each Receive, up to MaxWait in total.
 func (s *Spender) WaitLimit(now time.Duration, a session.Account) time.Duration {
 	st := s.accounts[a]
 	if st == nil {
-		return patience
+		return silenceLimit
 	}
 	if st.wait && now < st.emptyUntil {
-		return maxWait
-	}
-	if s.hasFallback(st) && s.fallback.until > max(now, s.fallback.from) {
-		start := max(s.fallback.from-now, 0)
-		next := seconds(float64(max(st.waiting, 1)) / st.rate)
-		return min(start+next, maxWait)
+		return st.emptyUntil - now + silenceLimit
 	}
+	limit := silenceLimit
 	if s.unansweredSince > 0 {
-		return max(s.unansweredSince+patience-now, 0)
+		limit = max(s.unansweredSince+silenceLimit-now, 0)
+	}
+	due := s.nextGenerated(now, st)
+	if due == 0 {
+		return limit
 	}
-	return patience
+	due += seconds(min(float64(max(st.waiting-1, 0))/st.rate, MaxWait.Seconds()))
+	if due > patience {
+		return limit
+	}
+	return max(limit, patience)
 }
 
 func (s *Spender) decide(now time.Duration, st *spending) Verdict {
@@ -236,7 +241,7 @@
 	if !s.hasFallback(st) || !s.fallback.active(now) {
 		return 0, false
 	}
-	if !st.generate(now, s.fallback.from) {
+	if !st.generate(now, s.fallback.from, s.reach()) {
 		return 0, false
 	}
 	s.stats.Fallback++
@@ -245,28 +250,28 @@
 		st.generated++
 		s.enqueue(st, 0)
 	}
-	return now + s.Bounds.Validity(st.limit) - seconds(1/st.rate), true
+	return now + s.Bounds.Validity(st.limit), true
 }
 
-// hasFallback reports whether the account has a fallback rate that is high enough under its present limit.
+// hasFallback reports whether the account has a fallback rate of the epoch in force.
 func (s *Spender) hasFallback(st *spending) bool {
-	return st.rate > 0 && st.rateEpoch == s.fallback.epoch && st.rate >= s.Bounds.minFallback(st.limit)*0.999
+	return st.rate > 0 && st.rateEpoch == s.fallback.epoch
 }
 
+// reach is the longest time between the grants of two operations in one window.
+func (s *Spender) reach() time.Duration { return s.Bounds.Window + maxValidity }
+
 // nextGenerated returns the time until the next generated token, or 0 if there will be none.
 func (s *Spender) nextGenerated(now time.Duration, st *spending) time.Duration {
 	if !s.hasFallback(st) {
 		return 0
 	}
-	missing := 1.0
 	start := max(now, s.fallback.from)
-	if s.fallback.active(now) && st.generatedAt >= s.fallback.from {
-		missing = 1 - st.fluid
-	}
-	at := start + seconds(missing/st.rate)
-	if at >= s.fallback.until {
+	missing := 1 - st.generatedPart(start, s.fallback.from, s.reach())
+	if start.Seconds()+missing/st.rate >= s.fallback.until.Seconds() {
 		return 0
 	}
+	at := start + seconds(missing/st.rate)
 	return max(at-now, time.Millisecond)
 }
 
--- a/internal/ratelimit/spending.go
+++ b/internal/ratelimit/spending.go
@@ -40,10 +40,10 @@
 	nextAhead time.Duration
 
 	// rate is the fallback rate, rateEpoch the epoch that gave it. fluid is the generated part of the next
-	// token as of generatedAt.
-	rate, fluid float64
-	rateEpoch   Epoch
-	generatedAt time.Duration
+	// token as of generatedAt, and generatedSent when the last one was used.
+	rate, fluid                float64
+	rateEpoch                  Epoch
+	generatedAt, generatedSent time.Duration
 
 	use recentUse
 	// generated and returned are those of RequestItem.
@@ -117,21 +117,29 @@
 }
 
 // generate uses one token generated under the fallback rate since from. At most one is kept.
-func (st *spending) generate(now, from time.Duration) bool {
-	if st.generatedAt < from {
-		st.generatedAt, st.fluid = from, 0
-	}
-	if now > st.generatedAt {
-		st.fluid = min(st.fluid+st.rate*(now-st.generatedAt).Seconds(), 1)
-		st.generatedAt = now
-	}
+func (st *spending) generate(now, from, reach time.Duration) bool {
+	st.fluid = st.generatedPart(now, from, reach)
+	st.generatedAt = max(now, st.generatedAt, from)
 	if st.fluid < 1-1e-6 {
 		return false
 	}
-	st.fluid = 0
+	st.fluid, st.generatedSent = 0, now
 	return true
 }
 
+// generatedPart returns the generated part of the next token. A fallback starts with a whole one, unless the host has
+// used one within reach before: within one window, there is one whole token for each host beyond its rate.
+func (st *spending) generatedPart(now, from, reach time.Duration) float64 {
+	at, part := st.generatedAt, st.fluid
+	if at < from {
+		at = from
+		if st.generatedSent == 0 || from-st.generatedSent >= reach {
+			part = 1
+		}
+	}
+	return min(part+st.rate*max(now-at, 0).Seconds(), 1)
+}
+
 // enterEpoch starts counting reports anew.
 func (st *spending) enterEpoch() {
 	st.generated, st.returned, st.reportedHeld = 0, 0, 0
