grants: lease of 6 s, reduced grants after every takeover

Cause: a lost granting host was replaced after up to 15 s, and only a takeover from a lease in force was reduced.

Change: the lease lasts 6 s and is renewed every 1.5 s. eraTime covers the lease and the fallback time. recoveryFrom reduces grants until the former lease's end plus ratelimit.FallbackTime, also after it has expired. The lease row notes when a term last started with filled buckets (filled_ms), so that terms in short sequence don't add up their start levels. Admit asks for the waiting limit again after each answer.

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -13,16 +13,16 @@
 )
 
 const (
-	// LeaseTime is how long a host may grant without renewing its lease. It exceeds the longest
-	// outage of the store that hosts have to bridge, which is 9 s, by one renewal.
-	LeaseTime = 15 * time.Second
+	// LeaseTime is how long a host may grant without renewing its lease. The next one can start only
+	// after that. Longer outages of the store are bridged by the fallback rates of the hosts.
+	LeaseTime = 6 * time.Second
 	// renewInterval is the time between two renewals.
-	renewInterval = 4 * time.Second
+	renewInterval = 1500 * time.Millisecond
 	// leaseMargin is added to the end of another host's lease for the difference of the clocks.
 	leaseMargin = time.Second
 	// eraTime is how long no host takes the lease after it first saw an era of the store: the
-	// store may have lost a lease that is still in use.
-	eraTime = LeaseTime + leaseMargin
+	// store may have lost a lease that is still in use, or fallback rates that were given under it.
+	eraTime = LeaseTime + ratelimit.FallbackTime + leaseMargin
 	// leaseCheckInterval is the time between two checks of the lease's state.
 	leaseCheckInterval = 200 * time.Millisecond
 	// rankDelay is the delay between hosts of consecutive ranks when a lease has to be taken over.
@@ -54,8 +54,10 @@
 	Epoch    ratelimit.Epoch
 	Released bool
 	// Until is the end of the lease on the store's clock. Fallback rates that were given under the
-	// lease may be in use until then, also after its release.
+	// lease may be in use for ratelimit.FallbackTime after it, also after its release.
 	Until time.Duration
+	// FilledAt is when a term last began with filled buckets, on the store's clock, 0 if never.
+	FilledAt time.Duration
 	// Era is the era of the store in which the lease was written.
 	Era revision.Era
 	// ReadEra is the era in which it was read, Version its version, 0 if there is none, and Now the
@@ -153,9 +155,14 @@
 		s.retryLease(now.Add(min(wait, readInterval)), nil)
 		return
 	}
-	next := Lease{Holder: s.Host, Epoch: nextEpoch(old), Until: old.Now + LeaseTime, Era: old.ReadEra}
+	next := Lease{
+		Holder: s.Host, Epoch: nextEpoch(old), Until: old.Now + LeaseTime, FilledAt: old.FilledAt, Era: old.ReadEra,
+	}
 	s.mu.Lock()
-	recovery := s.lease.recoveryFrom(old, next)
+	recovery := s.lease.recoveryFrom(old, next, s.Bounds.StartInterval())
+	if recovery.Filled {
+		next.FilledAt = old.Now
+	}
 	s.lease.attempt = recovery
 	s.mu.Unlock()
 	written, err := s.WriteLease(ctx, old, next, true)
@@ -173,15 +180,16 @@
 	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", next.Epoch, old.Holder))
 }
 
-// recoveryFrom returns how this host takes over from a lease. Fallback rates that were given under
-// that lease may be in use until its end, unless it is one that this process wrote, without an
-// answer, and never granted under.
-func (l *leaseState) recoveryFrom(old, next Lease) ratelimit.Recovery {
+// recoveryFrom returns how this host takes over from a lease, whoever held it. Fallback rates that
+// were given under it may be in use after its end, unless it is one that this process wrote, without
+// an answer, and never granted under.
+func (l *leaseState) recoveryFrom(old, next Lease, startInterval time.Duration) ratelimit.Recovery {
 	r := ratelimit.Recovery{Epoch: next.Epoch}
-	switch left := old.Until - old.Now; {
+	r.Filled = old.FilledAt == 0 || old.Now-old.FilledAt >= startInterval
+	switch left := old.Until + ratelimit.FallbackTime - old.Now; {
 	case old.Version != 0 && old.Epoch == l.attempt.Epoch && l.held.Epoch != old.Epoch:
-		r.ReducedUntil = l.attempt.ReducedUntil
-	case left > 0:
+		r.ReducedUntil, r.Filled = l.attempt.ReducedUntil, l.attempt.Filled
+	case old.Version != 0 && left > 0:
 		r.ReducedUntil = time.Duration(old.SentAt.Add(left))
 	}
 	return r
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -119,11 +119,14 @@
 		return s.decided(v)
 	}
 	s.requestSoon()
-	giveUp := time.Now().Add(s.spender.WaitLimit(s.now(), a))
-	if deadline.Before(giveUp) {
-		giveUp = deadline
+	if last := time.Now().Add(ratelimit.MaxWait); last.Before(deadline) {
+		deadline = last
 	}
+	giveUp := time.Now().Add(s.spender.WaitLimit(s.now(), a))
 	for v.Kind == ratelimit.Unknown {
+		if deadline.Before(giveUp) {
+			giveUp = deadline
+		}
 		rest := time.Until(giveUp)
 		if rest <= 0 {
 			return 0, &engine.LimitError{RetryAfter: s.spender.Abandon(s.now(), a, true), Undecided: true}
@@ -131,8 +134,11 @@
 		if v.RetryAfter > 0 {
 			rest = min(rest, v.RetryAfter)
 		}
-		s.awaitChange(rest)
+		answered := s.awaitChange(rest)
 		v = s.spender.Retry(s.now(), a)
+		if answered {
+			giveUp = time.Now().Add(s.spender.WaitLimit(s.now(), a))
+		}
 	}
 	return s.decided(v)
 }
@@ -148,8 +154,9 @@
 	return replicaset.Instant(v.Until), nil
 }
 
-// awaitChange waits for the next response, at most for the given time. The caller holds s.mu.
-func (s *Service) awaitChange(limit time.Duration) {
+// awaitChange waits for the next response, at most for the given time, and reports whether there was
+// one. The caller holds s.mu.
+func (s *Service) awaitChange(limit time.Duration) bool {
 	changed := s.changed
 	s.mu.Unlock()
 	defer s.mu.Lock()
@@ -157,7 +164,9 @@
 	defer t.Stop()
 	select {
 	case <-changed:
+		return true
 	case <-t.C:
+		return false
 	}
 }
 
