--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -45,7 +45,8 @@
 	return r, true
 }
 
-// NextRequest returns the time at which Request is due if there is no further demand.
+// NextRequest returns the time at which Request is due if there is no further demand. It is beyond any clock if none
+// is due then.
 func (s *Spender) NextRequest(time.Duration) time.Duration {
 	if s.inFlight {
 		return s.lastSent + answerTimeout
@@ -152,5 +153,5 @@
 	// The granting host counts from when it received the request. That is between sentAt and now, so a start
 	// at most skewMargin too early is certain.
 	f.from = max(f.from, max(sentAt, now-skewMargin)+silenceLimit)
-	f.until = max(f.until, sentAt+r.Lease)
+	f.until = max(f.until, sentAt+FallbackTime)
 }
--- a/internal/ratelimit/model_test.go
+++ b/internal/ratelimit/model_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
-	"slices"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -14,10 +14,12 @@
 
 const (
 	modelStep   = 10 * time.Millisecond
-	leaseTime   = 15 * time.Second
-	renewEvery  = 4 * time.Second
+	leaseTime   = 6 * time.Second
+	renewEvery  = 1500 * time.Millisecond
 	configDelay = 500 * time.Millisecond
 	flapTime    = 900 * time.Millisecond
+	// restartTime is the time from the start of a process to its first call to the store.
+	restartTime = 200 * time.Millisecond
 )
 
 // safeguard is one that a run leaves out.
@@ -28,9 +30,12 @@
 	validityFromSending
 	chargeSilentHosts
 	emptyBucketsAtStart
-	fallbackEndsWithLease
-	waitForOldLease
+	fallbackEnds
+	waitForFallbacks
 	sumOfFallbackRates
+	filledOnce
+	wholeTokenOnce
+	placesOfHosts
 )
 
 type message struct {
@@ -42,6 +47,7 @@
 }
 
 type modelOp struct {
+	account                               *accountRun
 	start, sendAt, until, retryAt, giveUp time.Duration
 }
 
@@ -58,7 +64,7 @@
 	waiting     []modelOp
 	allowed     []modelOp
 	sentAt      map[Sequence]time.Duration
-	debt        float64
+	debt        []float64
 	retryAll    bool
 	// limitVersion is the length of the model's history at the last change of the limit that arrived.
 	limitVersion int
@@ -70,6 +76,9 @@
 	holder  int
 	epoch   Epoch
 	expires time.Duration
+	// released is true if the holder has given the lease up, filledAt the start of the last term with filled buckets.
+	released bool
+	filledAt time.Duration
 }
 
 type limitChange struct {
@@ -88,11 +97,11 @@
 	history []limitChange
 	limit   Limit
 	bounds  Bounds
-	sent    []time.Duration
-	// charged holds the times at which the tokens of allowed operations were granted or generated.
-	charged []time.Duration
-	refused map[string]int
-	remove  safeguard
+	// accounts all have the same limit. sent is the sum of their operations.
+	accounts []*accountRun
+	sent     int
+	refused  map[string]int
+	remove   safeguard
 	// demand returns the rate of new operations at a host.
 	demand func(now time.Duration, host int) float64
 	// sendLate delays each operation until its token is about to end, poisson makes the demand irregular.
@@ -103,14 +112,24 @@
 	retries     []time.Duration
 	requests    int
 	longestWait time.Duration
+	// waits holds the waits of the allowed operations since the last clearing.
+	waits []time.Duration
 }
 
 const account session.Account = "a"
 
+// accountRun is what the hosts did for an account.
+type accountRun struct {
+	name session.Account
+	sent []time.Duration
+	// charged holds the times at which the tokens of allowed operations were granted or generated.
+	charged []time.Duration
+}
+
 func newModel(seed int64, hosts int, l Limit, b Bounds) *model {
 	m := &model{
 		rng: rand.New(rand.NewSource(seed)), now: time.Second, limit: l, bounds: b, refused: make(map[string]int), poisson: true,
-		row: leaseRow{holder: -1}, history: []limitChange{{0, l}},
+		row: leaseRow{holder: -1}, accounts: []*accountRun{{name: account}}, history: []limitChange{{0, l}},
 	}
 	m.demand = func(time.Duration, int) float64 { return 3 * l.Rate / float64(hosts) }
 	for i := range hosts {
@@ -121,25 +140,36 @@
 	return m
 }
 
+func (m *model) limits() Limits {
+	out := make(Limits)
+	for _, a := range m.accounts {
+		out[a.name] = m.limit
+	}
+	return out
+}
+
 // start starts a process of a host.
 func (m *model) start(h *modelHost) {
 	h.incarnation++
 	h.spender = &Spender{Bounds: m.bounds, Host: fmt.Sprint("host-", h.id), Incarnation: h.incarnation}
-	h.spender.SetLimits(Limits{account: m.limit})
+	h.spender.SetLimits(m.limits())
 	h.granter, h.waiting, h.allowed, h.inbox = nil, nil, nil, nil
 	h.sentAt = make(map[Sequence]time.Duration)
 	h.grantedAt = make(map[time.Duration]time.Duration)
 	h.limitVersion = len(m.history)
+	h.renewAt = min(h.renewAt, m.now+restartTime)
 }
 
 func (m *model) run(until time.Duration) {
-	m.started = make([]bool, len(m.faults))
+	for len(m.started) < len(m.faults) {
+		m.started = append(m.started, false)
+	}
 	for ; m.now < until; m.now += modelStep {
 		m.startFaults()
 		m.deliver()
 		for _, h := range m.hosts {
 			if h.frozenUntil <= m.now || m.pauses > 0 {
-				h.debt += m.arrivals(h)
+				m.arrive(h)
 			}
 			if h.frozenUntil > m.now {
 				continue
@@ -187,25 +217,34 @@
 			m.start(h)
 		case restart:
 			m.start(h)
+		case restartAll:
+			for _, h := range m.hosts {
+				m.start(h)
+			}
+		case release:
+			if h.granter != nil && m.row.holder == h.id {
+				// The holder gives up at once. It does not take the lease again soon.
+				h.granter, h.renewAt, m.row.released = nil, m.now, true
+			}
 		case changeLimit:
 			m.limit = f.limit
 			m.history = append(m.history, limitChange{m.now, f.limit}, limitChange{m.now + configDelay, f.limit})
-			version := len(m.history)
+			limits, version := m.limits(), len(m.history)
 			for _, h := range m.hosts {
-				m.post(h, time.Duration(m.rng.Int63n(int64(configDelay))), func() { m.setLimit(h, f.limit, version) })
+				m.post(h, time.Duration(m.rng.Int63n(int64(configDelay))), func() { m.setLimit(h, limits, version) })
 			}
 		}
 	}
 }
 
-func (m *model) setLimit(h *modelHost, l Limit, version int) {
+func (m *model) setLimit(h *modelHost, l Limits, version int) {
 	if version < h.limitVersion {
 		return
 	}
 	h.limitVersion = version
-	h.spender.SetLimits(Limits{account: l})
+	h.spender.SetLimits(l)
 	if h.granter != nil {
-		h.granter.SetLimits(m.now+h.offset, Limits{account: l})
+		h.granter.SetLimits(m.now+h.offset, l)
 	}
 }
 
@@ -290,13 +329,16 @@
 			}
 		}()
 	}
+	if m.remove == placesOfHosts {
+		for _, b := range g.granter.buckets {
+			b.plan.hosts = math.MaxInt
+		}
+	}
 	resp := g.granter.Grant(m.now+g.offset, g.leaseEnd, r)
 	if resp.Epoch == 0 {
 		return
 	}
 	switch m.remove {
-	case fallbackEndsWithLease:
-		resp.Lease = time.Hour
 	case sumOfFallbackRates:
 		for i := range resp.Items {
 			resp.Items[i].Fallback = max(fallbackFactor*r.Items[i].Use, resp.Items[i].Fallback)
@@ -313,6 +355,9 @@
 			h.grantedAt[sentAt+it.Validity] = max(grantedAt, h.grantedAt[sentAt+it.Validity])
 		}
 		h.spender.Receive(now, sentAt, resp)
+		if m.remove == fallbackEnds {
+			h.spender.fallback.until = now + time.Hour
+		}
 		h.retryAll = true
 	})
 }
@@ -324,93 +369,31 @@
 		return
 	}
 	mine := m.row.holder == h.id
-	if h.granter != nil && mine {
+	if h.granter != nil && mine && !m.row.released && m.now+h.offset < h.leaseEnd {
 		m.row.expires, h.leaseEnd, h.renewAt = m.now+leaseTime, m.now+leaseTime+h.offset, m.now+renewEvery
 		return
 	}
-	if m.row.expires > m.now && !mine && m.remove != waitForOldLease {
+	if m.row.expires > m.now && !mine && !m.row.released {
 		return
 	}
-	if m.remove == waitForOldLease && !mine && m.row.holder >= 0 && m.hosts[m.row.holder].frozenUntil <= m.now {
+	if mine && m.row.released && m.now < h.renewAt+leaseTime {
 		return
 	}
 	rec := Recovery{Epoch: m.row.epoch + 1}
-	if mine && m.remove != waitForOldLease {
-		rec.ReducedUntil = m.row.expires + h.offset
+	if m.row.epoch > 0 && m.row.expires+FallbackTime > m.now && m.remove != waitForFallbacks {
+		rec.ReducedUntil = m.row.expires + FallbackTime + h.offset
+	}
+	rec.Filled = m.row.filledAt == 0 || m.now-m.row.filledAt >= m.bounds.StartInterval() || m.remove == filledOnce
+	row := leaseRow{holder: h.id, epoch: rec.Epoch, expires: m.now + leaseTime, filledAt: m.row.filledAt}
+	if rec.Filled {
+		row.filledAt = m.now
 	}
-	m.row = leaseRow{holder: h.id, epoch: rec.Epoch, expires: m.now + leaseTime}
+	m.row = row
 	h.leaseEnd, h.renewAt = m.now+leaseTime+h.offset, m.now+renewEvery
 	h.granter = &Granter{Bounds: m.bounds}
 	h.granter.Start(m.now+h.offset, rec)
-	h.granter.SetLimits(m.now+h.offset, Limits{account: m.limit})
+	h.granter.SetLimits(m.now+h.offset, m.limits())
 	if m.remove == emptyBucketsAtStart {
 		h.granter.term.start -= time.Hour
 	}
 }
-
-// arrivals returns the number of operations that arrive at a host in a step.
-func (m *model) arrivals(h *modelHost) float64 {
-	n := m.demand(m.now, h.id) * modelStep.Seconds()
-	if m.poisson {
-		n *= m.rng.ExpFloat64()
-	}
-	return n
-}
-
-// stepOps sends allowed operations, and decides about waiting and new ones.
-func (m *model) stepOps(h *modelHost) {
-	now := m.now + h.offset
-	h.allowed = slices.DeleteFunc(h.allowed, func(o modelOp) bool {
-		if o.sendAt > now {
-			return false
-		}
-		if now < o.until {
-			m.sent = append(m.sent, m.now)
-		}
-		return true
-	})
-	waiting := h.waiting
-	h.waiting = nil
-	for _, o := range waiting {
-		switch {
-		case h.retryAll || o.retryAt > 0 && now >= o.retryAt:
-			m.decide(h, o, h.spender.Retry(now, account))
-		case now >= o.giveUp:
-			m.refused["unavailable"]++
-			h.spender.Abandon(now, account, true)
-		default:
-			h.waiting = append(h.waiting, o)
-		}
-	}
-	h.retryAll = false
-	for ; h.debt >= 1; h.debt-- {
-		m.decide(h, modelOp{start: now, giveUp: now + h.spender.WaitLimit(now, account)}, h.spender.Take(now, account))
-	}
-}
-
-func (m *model) decide(h *modelHost, o modelOp, v Verdict) {
-	now := m.now + h.offset
-	switch v.Kind {
-	case Allowed:
-		if at, ok := h.grantedAt[v.Until]; ok {
-			m.charged = append(m.charged, at)
-		} else {
-			m.charged = append(m.charged, m.now)
-		}
-		m.longestWait = max(m.longestWait, now-o.start)
-		o.until, o.sendAt = v.Until, now
-		if m.sendLate {
-			o.sendAt = max(v.Until-modelStep, now)
-		}
-		h.allowed = append(h.allowed, o)
-	case Unknown:
-		o.retryAt = 0
-		if v.RetryAfter > 0 {
-			o.retryAt = now + v.RetryAfter
-		}
-		h.waiting = append(h.waiting, o)
-	case Exceeded:
-		m.refused["exceeded"]++
-		m.retries = append(m.retries, m.now+v.RetryAfter)
-	}
-}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -10,23 +10,6 @@
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
-func TestValidity(t *testing.T) {
-	tests := []struct {
-		limit Limit
-		want  time.Duration
-	}{
-		{Limit{296, 296}, 567 * time.Millisecond},
-		{Limit{5, 5}, 4500 * time.Millisecond},
-		{Limit{1, 1}, maxValidity},
-		{Limit{0, 0}, maxValidity},
-	}
-	for _, tc := range tests {
-		if got := DefaultBounds().Validity(tc.limit); (got - tc.want).Abs() > time.Millisecond {
-			t.Errorf("validity of %v: %v, want %v", tc.limit, got, tc.want)
-		}
-	}
-}
-
 // conforming returns a demand that stays below rate and burst. It is spread unevenly over the hosts: host k has a part
 // in proportion to 1/(k+1). With bursts, it arrives in bursts as large as the limit permits, at one host each.
 func conforming(m *model, l Limit, bursts bool) func(time.Duration, int) float64 {
@@ -75,13 +58,13 @@
 				m.demand = conforming(m, l, bursts)
 				m.run(60 * time.Second)
 				if len(m.refused) > 0 {
-					t.Errorf("refused %v of %d", m.refused, len(m.sent))
+					t.Errorf("refused %v of %d", m.refused, m.sent)
 				}
 				if err := m.check(); err != nil {
 					t.Error(err)
 				}
-				t.Logf("%d operations, %d requests, longest wait %v", len(m.sent), m.requests, m.longestWait)
-				if m.longestWait > maxWait/2 {
+				t.Logf("%d operations, %d requests, longest wait %v", m.sent, m.requests, m.longestWait)
+				if m.longestWait > MaxWait/2 {
 					t.Errorf("an operation waited %v", m.longestWait)
 				}
 			})
@@ -95,7 +78,7 @@
 	for _, l := range []Limit{{296, 296}, {80, 10}, {5, 5}} {
 		m := newModel(5, 20, l, DefaultBounds())
 		m.run(61 * time.Second)
-		part := float64(len(m.sent)) / (60*l.Rate + l.Burst)
+		part := float64(m.sent) / (60*l.Rate + l.Burst)
 		t.Logf("%v: used %.3f of the limit, refused %v, longest wait %v", l, part, m.refused, m.longestWait)
 		if part < 0.95 || m.longestWait > time.Second || m.refused["unavailable"] > 0 {
 			t.Errorf("%v: used %.3f of the limit, longest wait %v, refused %v", l, part, m.longestWait, m.refused)
@@ -336,15 +319,15 @@
 	}
 	m.run(60 * time.Second)
 	if len(m.refused) > 0 {
-		t.Errorf("refused %v of %d", m.refused, len(m.sent))
+		t.Errorf("refused %v of %d", m.refused, m.sent)
 	}
-	t.Logf("%d operations, %d requests, longest wait %v", len(m.sent), m.requests, m.longestWait)
-	before := len(m.sent)
+	t.Logf("%d operations, %d requests, longest wait %v", m.sent, m.requests, m.longestWait)
+	before := m.sent
 	m.faults = []fault{{kind: freeze, host: -1, at: m.now, time: 14 * time.Second}}
 	m.run(m.now + 13*time.Second)
-	t.Logf("without the granting host: %d of 52 operations", len(m.sent)-before)
-	if len(m.sent)-before < 5 {
-		t.Errorf("%d operations while the granting host is frozen", len(m.sent)-before)
+	t.Logf("without the granting host: %d of 52 operations", m.sent-before)
+	if m.sent-before < 5 {
+		t.Errorf("%d operations while the granting host is frozen", m.sent-before)
 	}
 	if err := m.check(); err != nil {
 		t.Error(err)
@@ -353,17 +336,27 @@
 
 func TestWaitLimit(t *testing.T) {
 	p := newPair(Limits{"a": {50, 50}})
-	if got := p.s.WaitLimit(p.now, "a"); got != patience {
+	if got := p.s.WaitLimit(p.now, "a"); got != silenceLimit {
 		t.Errorf("at first: %v", got)
 	}
 	p.take("a", 10)
-	p.s.Take(p.now+time.Second, "a")
-	if got := p.s.WaitLimit(p.now, "a"); got < silenceLimit || got > maxWait {
-		t.Errorf("with a fallback rate: %v", got)
+	p.now += 300 * time.Millisecond
+	p.take("a", 1)
+	p.s.Request(p.now + time.Second)
+	at := p.now + 2*time.Second
+	if got := p.s.WaitLimit(at, "a"); got != patience {
+		t.Errorf("with a generated token: %v", got)
+	}
+	// The rate is 5 per second, so that the next tokens are generated after 0.2 s and 0.4 s.
+	p.s.Take(at, "a")
+	for i, want := range []time.Duration{patience, 0} {
+		p.s.Take(at, "a")
+		if got := p.s.WaitLimit(at, "a"); got != want {
+			t.Errorf("with %d waiting: %v, want %v", i+1, got, want)
+		}
 	}
-	p.s.Request(p.now + leaseTime)
-	if got := p.s.WaitLimit(p.now+leaseTime+2*patience, "a"); got != 0 {
-		t.Errorf("long after the lease: %v", got)
+	if got := p.s.WaitLimit(p.now+FallbackTime, "a"); got != 0 {
+		t.Errorf("after the fallback: %v", got)
 	}
 }
 
