--- a/internal/engine/declared.go
+++ b/internal/engine/declared.go
@@ -36,6 +36,17 @@
 	Public bool
 }
 
+// defaultTimeout is the statement timeout where none is declared.
+const defaultTimeout = time.Second
+
+// Timeout returns the statement timeout in force.
+func (db Database) Timeout() time.Duration {
+	if db.StatementTimeout <= 0 {
+		return defaultTimeout
+	}
+	return db.StatementTimeout
+}
+
 // GroupPolicy is the declared policy of a database group.
 type GroupPolicy struct {
 	// MaxConnections is the number of connections that an endpoint accepts from
@@ -59,3 +70,6 @@
 	// ended, 0 for no limit.
 	IdleInTransaction time.Duration
 }
+
+// Supersedes reports whether d replaces old, which is nil if no configuration is in force yet.
+func (d *Declared) Supersedes(old *Declared) bool { return old == nil || d.Version > old.Version }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -139,7 +139,7 @@
 func (e *Engine) Apply(d *Declared) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if old := e.declared.Load(); old != nil && d.Version <= old.Version {
+	if !d.Supersedes(e.declared.Load()) {
 		return false
 	}
 	e.declared.Store(d)
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -15,8 +15,6 @@
 	// answerMargin is subtracted from a statement's timeout, so that the answer
 	// reaches the caller in time.
 	answerMargin = 20 * time.Millisecond
-	// defaultTimeout is the statement timeout where none is declared.
-	defaultTimeout = time.Second
 	// minReadAttempt is the least time limit of one read attempt.
 	minReadAttempt = 350 * time.Millisecond
 	// readAttemptFactor is the time limit of one read attempt as a multiple of
@@ -30,6 +28,9 @@
 	// minAttempt is the least remaining time with which another attempt is
 	// started.
 	minAttempt = 10 * time.Millisecond
+	// MinTimeout is the statement timeout up to which no attempt is started, so that
+	// every statement is refused.
+	MinTimeout = answerMargin + minAttempt
 )
 
 // Priority classes in queues, highest first: statements of transactions that
@@ -62,11 +63,7 @@
 }
 
 func (s *CallerSession) deadline(db Database) time.Time {
-	limit := db.StatementTimeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
-	return s.e.Now().Add(limit - answerMargin)
+	return s.e.Now().Add(db.Timeout() - answerMargin)
 }
 
 // runSingle runs one statement outside of a transaction.
@@ -279,7 +276,7 @@
 
 // freshness returns how fresh the session's reads of a database must be.
 func (s *CallerSession) freshness(g *group, db Database) Freshness {
-	f := Freshness{MaxAge: db.MaxAge - ageMargin}
+	f := Freshness{MaxAge: db.MaxAge - AgeMargin}
 	if db.Consistency == Session {
 		f.Seen = s.seen[g.Name]
 	}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -8,10 +8,10 @@
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
-// ageMargin is subtracted from the staleness bound of a read. It covers the
+// AgeMargin is subtracted from the staleness bound of a read. It covers the
 // rounding of clocks and the time between the first byte of a statement and its
 // decoding.
-const ageMargin = 50 * time.Millisecond
+const AgeMargin = 50 * time.Millisecond
 
 // runInTransaction runs a statement of an open transaction.
 func (s *CallerSession) runInTransaction(q query) Outcome {
