Check the time to send after the connection is set up

The requests that set session values and prepare statements take a round trip or more. The operation followed them without another look at its admission, up to the statement's timeout late.

Conn.run checks the time again before the first request of the call. The endpoint's slow start does not count this as a failure.

Red before: TestSendByAfterSetup, 1 operation sent 100 ms after the end of its admission.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -107,7 +107,7 @@
 	}
 	began := c.gate.now()
 	out, err := c.run(call)
-	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil
+	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil && !errors.Is(err, errSendByPassed)
 	c.gate.end(r, a)
 	return out, err
 }
@@ -126,6 +126,10 @@
 		if err := c.applyState(call); err != nil {
 			return nil, err
 		}
+		// The requests that set up the connection may have taken the time that was left.
+		if c.tooLate(call) {
+			return nil, NotSent(errSendByPassed)
+		}
 	}
 	var all []Outcome
 	for _, op := range call.Ops {
