Don't count an account's limit as a failure of the endpoint

An attempt that follows an attempt or a wait needs another admission. If the account was at its limit then, the refusal was recorded as a failure of the endpoint: its idle connections were closed, it ranked lower for reads, and its slow start saw a failure.

notAttempted includes LimitError.

Red before: TestLimitIsNoFailureOfTheEndpoint, 0 of 1 idle connections left.

--- a/internal/engine/admission_test.go
+++ b/internal/engine/admission_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // TestSendByAfterSetup guards against an operation that is sent after its admission has ended: the
@@ -38,3 +39,51 @@
 		t.Errorf("%d operations sent with a valid admission, error %v", sent, err)
 	}
 }
+
+// TestLimitIsNoFailureOfTheEndpoint guards against an account at its limit that makes a host close
+// the idle connections of an endpoint and count a failure of it.
+func TestLimitIsNoFailureOfTheEndpoint(t *testing.T) {
+	e := accountEngine(1, session.Account("mill"))
+	g := e.group("g")
+	m := replicaset.Member{ID: "a", Group: "g", Address: "a", Slots: 2, Started: 1}
+	p := e.pool(g, m)
+	p.idle, p.open = []*Conn{{account: "mill", Close: func() {}}}, 1
+	s, o := e.Open("db", "key")
+	if s == nil {
+		t.Fatal(o)
+	}
+	e.Admit = func(time.Time, session.Account) (replicaset.Instant, error) {
+		return 0, &LimitError{RetryAfter: time.Second}
+	}
+	until := time.Now().Add(time.Second)
+	_, sent, err := s.runAttempt(attempt{g: g, member: m, queueDeadline: until, deadline: until}, query{})
+	if err == nil || sent {
+		t.Fatalf("an attempt beyond the limit was sent: %v, error %v", sent, err)
+	}
+	if open, idle, _ := p.stats(); open != 1 || idle != 1 {
+		t.Errorf("%d connections open, %d idle after a refusal by the limit, want 1", open, idle)
+	}
+}
+
+// accountDeclaration returns a configuration in which the key "key" belongs to the given accounts.
+func accountDeclaration(version uint64, accounts ...session.Account) *Declared {
+	d := &Declared{
+		Version: version, Databases: map[string]Database{"db": {Name: "db", Group: "g"}},
+		Groups:   map[session.Group]GroupPolicy{"g": {MaxConnections: 4}},
+		Accounts: make(map[session.Account]Account), Keys: make(map[KeyDigest]session.Account),
+	}
+	for _, a := range accounts {
+		d.Accounts[a], d.Keys[DigestKey("key")] = Account{Name: a}, a
+	}
+	return d
+}
+
+func accountEngine(version uint64, accounts ...session.Account) *Engine {
+	began := time.Now()
+	e := &Engine{
+		Zone: "z", Now: time.Now,
+		BootTime: func() replicaset.Instant { return replicaset.Instant(time.Minute + time.Since(began)) },
+	}
+	e.Apply(accountDeclaration(version, accounts...))
+	return e
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -243,10 +243,11 @@
 }
 
 // notAttempted reports whether a call failed before it was tried, for lack of a
-// connection, a proof, a position or time, or because the endpoint refused a
-// connection. Such an error does not indicate a fault of the endpoint.
+// connection, a proof, a position or time, because the endpoint refused a
+// connection, or because of the account's limit. Such an error does not indicate a fault of the endpoint.
 func notAttempted(err error) bool {
 	var refused *DialError
+	var limited *LimitError
 	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
-		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused)
+		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || errors.As(err, &limited)
 }
