Look the account up again when a transaction starts at an endpoint

BEGIN looks up the account, and the first statement acquires a connection. A session without a connection has no idle limit, so a transaction could start any time after its key was revoked or moved, admitted for the former account. An account that is not declared any more has no limit.

firstStatement looks the account up in the configuration in force.

Red before: TestTransactionOfRevokedKey, admission was asked for the former account, and the transaction of a revoked key ended with BUSY.

--- a/internal/engine/admission_test.go
+++ b/internal/engine/admission_test.go
@@ -65,6 +65,33 @@
 	}
 }
 
+// TestTransactionOfRevokedKey guards against a transaction that was begun before its key was
+// revoked, and starts at an endpoint any time later.
+func TestTransactionOfRevokedKey(t *testing.T) {
+	e := accountEngine(1, session.Account("mill"))
+	s, o := e.Open("db", "key")
+	if s == nil {
+		t.Fatal(o)
+	}
+	var admitted []session.Account
+	e.Admit = func(_ time.Time, a session.Account) (replicaset.Instant, error) {
+		admitted = append(admitted, a)
+		return 0, &LimitError{RetryAfter: time.Second}
+	}
+	s.Run(Statement{Kind: Begin})
+	e.Apply(accountDeclaration(2, "plough"))
+	s.Run(Statement{Kind: Write, Text: "w"})
+	s.Run(Statement{Kind: Rollback})
+	s.Run(Statement{Kind: Begin})
+	e.Apply(accountDeclaration(3))
+	if o := s.Run(Statement{Kind: Write, Text: "w"}); o.Code != UnknownAccount || o.State != FailedTransaction {
+		t.Errorf("a transaction of a revoked key ends with %v in state %v", o.Code, o.State)
+	}
+	if len(admitted) != 1 || admitted[0] != "plough" {
+		t.Errorf("admission was asked for accounts %q, want only the one that the key had moved to", admitted)
+	}
+}
+
 // accountDeclaration returns a configuration in which the key "key" belongs to the given accounts.
 func accountDeclaration(version uint64, accounts ...session.Account) *Declared {
 	d := &Declared{
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -191,13 +191,22 @@
 	if !ok {
 		return Outcome{Code: UnknownDatabase, Reason: s.database}
 	}
+	if o := s.resolveAccount(d, db); o.Code != Done {
+		return o
+	}
+	s.db, s.resolved = db, d
+	s.attend(db.Group)
+	return Outcome{}
+}
+
+// resolveAccount looks up the session's account in a configuration.
+func (s *CallerSession) resolveAccount(d *Declared, db Database) Outcome {
 	account, ok := d.accountFor(db, s.key)
 	if !ok {
 		s.e.emit(Event{Group: db.Group, Decision: "unknown_key", Code: UnknownAccount, Reason: "database " + s.database})
 		return Outcome{Code: UnknownAccount, Reason: "the key belongs to no account"}
 	}
-	s.db, s.account, s.resolved = db, account, d
-	s.attend(db.Group)
+	s.account = account
 	return Outcome{}
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -31,6 +31,11 @@
 	tried := make(map[replicaset.EndpointID]bool)
 	began := s.e.BootTime()
 	busy, findPosition, tries := false, false, 0
+	// BEGIN occupies nothing at an endpoint, so that any time may have passed since.
+	if o := s.resolveAccount(s.e.declared.Load(), s.tx.db); o.Code != Done {
+		s.state, s.tx = FailedTransaction, nil
+		return o
+	}
 	if err := s.admitOperation(deadline); err != nil {
 		s.state, s.tx = FailedTransaction, nil
 		return s.giveUp(q, refusalOutcome(err))
