Serve waiting requests of public databases beside accounts

A connection of an account that became idle was not closed for a waiting request without an account: only requests of accounts were let open connections then. The request waited to its deadline, and at the head of the queue it kept those of accounts from opening connections.

Where accounts are in use, grantOpenings serves both. Pools of hosts without accounts behave as before.

Red before: TestPublicDatabaseBesideAccounts, no connection in 500 ms.

--- a/internal/engine/accountpool.go
+++ b/internal/engine/accountpool.go
@@ -76,10 +76,12 @@
 	p.grantOpenings()
 }
 
-// grantOpenings lets waiting requests of accounts open connections, as many as may be opened
-// at a time.
+// grantOpenings lets waiting requests open connections, those of accounts as many as may be
+// opened at a time. Where accounts are in use, a request without one can't use the connections
+// that become idle either.
 func (p *pool) grantOpenings() {
-	for w := p.firstWaiter(); w != nil && w.account != noAccount && p.reserveOpening(w.account); w = p.firstWaiter() {
+	accounts := p.fair != nil && p.fair()
+	for w := p.firstWaiter(); w != nil && (accounts || w.account != noAccount) && p.reserveOpening(w.account); w = p.firstWaiter() {
 		p.serve(w, grant{mayDial: true})
 	}
 }
--- a/internal/engine/accountpool_test.go
+++ b/internal/engine/accountpool_test.go
@@ -173,3 +173,26 @@
 	p.release(c)
 	p.release(p.mustAcquire(t, noAccount))
 }
+
+// TestPublicDatabaseBesideAccounts guards against a request without an account that waits to its
+// deadline, while connections of accounts become idle and others get them.
+func TestPublicDatabaseBesideAccounts(t *testing.T) {
+	p, _ := accountPool(4, 1, 1)
+	p.fair = func() bool { return true }
+	c := p.mustAcquire(t, "a")
+	got := make(chan error, 1)
+	go func() {
+		c, err := p.acquire(time.Now().Add(500*time.Millisecond), connNeed{class: classRead})
+		if err == nil {
+			p.release(c)
+		}
+		got <- err
+	}()
+	for p.counts().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.release(c)
+	if err := <-got; err != nil {
+		t.Errorf("a request of a public database beside an idle connection of an account: %v", err)
+	}
+}
