Release the lease of the limits after a renewal without an answer

The release was written against the last known version of the lease. If a renewal had taken effect whose answer was lost or on its way, the release was refused, and nobody could grant until the lease had expired.

On a conflict, Stop reads the lease and releases it if it is still that of this host's term.

Red before: TestStopAfterLostRenewal, the lease was not released.

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -290,11 +290,24 @@
 	if !held {
 		return
 	}
-	next := old
-	next.Released = true
-	if _, err := s.WriteLease(ctx, old, next, true); err != nil {
+	err := s.release(ctx, old)
+	if errors.Is(err, ErrConflict) {
+		// A renewal may have taken effect without an answer, or runs.
+		if shown, readErr := s.ReadLease(ctx); readErr == nil && shown.Holder == old.Holder && shown.Epoch == old.Epoch {
+			err = s.release(ctx, shown)
+		}
+	}
+	if err != nil {
 		s.emit("limits_lease_kept", s.Host, err.Error())
 		return
 	}
 	s.emit("limits_released", s.Host, "")
 }
+
+// release marks a lease of this host as released.
+func (s *Service) release(ctx context.Context, held Lease) error {
+	next := held
+	next.Released = true
+	_, err := s.WriteLease(ctx, held, next, true)
+	return err
+}
--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -277,3 +277,19 @@
 		}
 	}
 }
+
+// TestStopAfterLostRenewal guards against a lease that a stopping host keeps to its end: a renewal
+// had taken effect that the host had no answer to, so that the release was refused.
+func TestStopAfterLostRenewal(t *testing.T) {
+	st := &leaseStore{now: at(time.Minute), era: 1}
+	s := newService(st, "a", 0)
+	st.run(t, st.now+at(5*time.Second), s)
+	st.loseAnswer = true
+	for st.loseAnswer {
+		st.run(t, st.now+at(leaseCheckInterval), s)
+	}
+	s.Stop(context.Background())
+	if !st.row.Released {
+		t.Errorf("the lease after a stop is %+v, want it released", st.row)
+	}
+}
