Announce the holder of the limits again if another one is announced

The holder was announced only when a host took the lease. If the store came back from a copy, it had lost the announcement or had an earlier one, while the holder kept its lease. No other host found it, and no other could take over: limited accounts were refused everywhere once the fallback rates had ended, for as long as the holder ran.

A renewal includes the announcement if the holder has heard of another one.

Red before: TestHolderIsAnnouncedAgain, announced holder "" and "b".

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -241,11 +241,13 @@
 func (s *Service) renew(ctx context.Context) {
 	s.mu.Lock()
 	old := s.lease.held
+	// After a restore of the store, another host or none may be announced.
+	announce := s.holder != s.Host
 	s.mu.Unlock()
 	sentAt := s.BootTime()
 	next := old
 	next.Until, next.Era = old.Now+sentAt.Sub(old.SentAt)+LeaseTime, old.ReadEra
-	written, err := s.WriteLease(ctx, old, next, false)
+	written, err := s.WriteLease(ctx, old, next, announce)
 	if err == nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -293,3 +293,25 @@
 		t.Errorf("the lease after a stop is %+v, want it released", st.row)
 	}
 }
+
+// TestHolderIsAnnouncedAgain guards against hosts that know no granting host for as long as one
+// renews its lease: the store had come back from a copy without the announcement.
+func TestHolderIsAnnouncedAgain(t *testing.T) {
+	for _, announced := range []string{"", "b"} {
+		st := &leaseStore{now: at(time.Minute), era: 1}
+		s := newService(st, "a", 0)
+		st.run(t, st.now+at(5*time.Second), s)
+		s.WriteLease = func(ctx context.Context, old, next Lease, announce bool) (Lease, error) {
+			written, err := st.write(ctx, old, next, announce)
+			if announce && err == nil {
+				s.SetHolder(next.Holder)
+			}
+			return written, err
+		}
+		s.SetHolder(announced)
+		st.run(t, st.now+at(2*renewInterval), s)
+		if !s.grants() || s.holder != "a" {
+			t.Errorf("granting %v, announced holder %q after %q, want the host that renews the lease", s.grants(), s.holder, announced)
+		}
+	}
+}
