Refuse an operation that reaches the account's limit while it waits

An operation whose first admission had ended while it waited asks for another one. If the account was at its limit by then, the operation asked again, at each member or each 15 ms, until the statement's deadline, and most refusals did not name the time after which the client may retry.

The attempts end with the refusal by the limit.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -247,7 +247,6 @@
 // connection, or because of the account's limit. Such an error does not indicate a fault of the endpoint.
 func notAttempted(err error) bool {
 	var refused *DialError
-	var limited *LimitError
 	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
-		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || errors.As(err, &limited)
+		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || limitReached(err)
 }
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -242,6 +242,10 @@
 			return o
 		}
 		s.emitRetry(q, m, o, err)
+		if limitReached(err) {
+			last = o
+			break
+		}
 		busy = busy || errors.Is(err, errOverloaded) || err == nil && o.Code == Busy
 		if err == nil || busy {
 			last = o
@@ -381,7 +385,7 @@
 		}
 		last = o
 		s.emitRetry(q, m, o, err)
-		if errors.Is(err, errOverloaded) {
+		if errors.Is(err, errOverloaded) || limitReached(err) {
 			break
 		}
 		if err == nil && o.Code == Busy {
@@ -421,7 +425,7 @@
 			last = o
 		}
 		s.emitRetry(q, m, o, err)
-		if errors.Is(err, errOverloaded) && s.e.usesAccounts() {
+		if errors.Is(err, errOverloaded) && s.e.usesAccounts() || limitReached(err) {
 			last = o
 			break
 		}
