--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -107,7 +107,7 @@
 	}
 	began := c.gate.now()
 	out, err := c.run(call)
-	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil
+	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil && !errors.Is(err, errSendByPassed)
 	c.gate.end(r, a)
 	return out, err
 }
@@ -126,6 +126,10 @@
 		if err := c.applyState(call); err != nil {
 			return nil, err
 		}
+		// The requests that set up the connection may have taken the time that was left.
+		if c.tooLate(call) {
+			return nil, NotSent(errSendByPassed)
+		}
 	}
 	var all []Outcome
 	for _, op := range call.Ops {
@@ -239,10 +243,10 @@
 }
 
 // notAttempted reports whether a call failed before it was tried, for lack of a
-// connection, a proof, a position or time, or because the endpoint refused a
-// connection. Such an error does not indicate a fault of the endpoint.
+// connection, a proof, a position or time, because the endpoint refused a
+// connection, or because of the account's limit. Such an error does not indicate a fault of the endpoint.
 func notAttempted(err error) bool {
 	var refused *DialError
 	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
-		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused)
+		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || limitReached(err)
 }
--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -170,14 +170,29 @@
 		s.retryLease(s.BootTime().Add(readInterval), err)
 		return
 	}
+	if s.begin(written, old, recovery) {
+		return
+	}
+	if err := s.release(ctx, written); err != nil {
+		s.emit("limits_lease_kept", s.Host, err.Error())
+	}
+}
+
+// begin starts granting under a lease that this host has taken. It returns false if the host has
+// stopped meanwhile.
+func (s *Service) begin(written, old Lease, recovery ratelimit.Recovery) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.lease.stopping {
+		return false
+	}
 	s.lease.hold(written, old.SentAt)
 	s.granter.Start(s.now(), recovery)
 	s.granter.SetLimits(s.now(), s.limits)
 	s.holder = s.Host
 	s.requestSoon()
-	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", next.Epoch, old.Holder))
+	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", written.Epoch, old.Holder))
+	return true
 }
 
 // recoveryFrom returns how this host takes over from a lease, whoever held it. Fallback rates that
@@ -241,11 +256,13 @@
 func (s *Service) renew(ctx context.Context) {
 	s.mu.Lock()
 	old := s.lease.held
+	// After a restore of the store, another host or none may be announced.
+	announce := s.holder != s.Host
 	s.mu.Unlock()
 	sentAt := s.BootTime()
 	next := old
 	next.Until, next.Era = old.Now+sentAt.Sub(old.SentAt)+LeaseTime, old.ReadEra
-	written, err := s.WriteLease(ctx, old, next, false)
+	written, err := s.WriteLease(ctx, old, next, announce)
 	if err == nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -290,11 +307,24 @@
 	if !held {
 		return
 	}
-	next := old
-	next.Released = true
-	if _, err := s.WriteLease(ctx, old, next, true); err != nil {
+	err := s.release(ctx, old)
+	if errors.Is(err, ErrConflict) {
+		// A renewal may have taken effect without an answer, or runs.
+		if shown, readErr := s.ReadLease(ctx); readErr == nil && shown.Holder == old.Holder && shown.Epoch == old.Epoch {
+			err = s.release(ctx, shown)
+		}
+	}
+	if err != nil {
 		s.emit("limits_lease_kept", s.Host, err.Error())
 		return
 	}
 	s.emit("limits_released", s.Host, "")
 }
+
+// release marks a lease of this host as released.
+func (s *Service) release(ctx context.Context, held Lease) error {
+	next := held
+	next.Released = true
+	_, err := s.WriteLease(ctx, held, next, true)
+	return err
+}
--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -277,3 +277,60 @@
 		}
 	}
 }
+
+// TestStopAfterLostRenewal guards against a lease that a stopping host keeps to its end: a renewal
+// had taken effect that the host had no answer to, so that the release was refused.
+func TestStopAfterLostRenewal(t *testing.T) {
+	st := &leaseStore{now: at(time.Minute), era: 1}
+	s := newService(st, "a", 0)
+	st.run(t, st.now+at(5*time.Second), s)
+	st.loseAnswer = true
+	for st.loseAnswer {
+		st.run(t, st.now+at(leaseCheckInterval), s)
+	}
+	s.Stop(context.Background())
+	if !st.row.Released {
+		t.Errorf("the lease after a stop is %+v, want it released", st.row)
+	}
+}
+
+// TestHolderIsAnnouncedAgain guards against hosts that know no granting host for as long as one
+// renews its lease: the store had come back from a copy without the announcement.
+func TestHolderIsAnnouncedAgain(t *testing.T) {
+	for _, announced := range []string{"", "b"} {
+		st := &leaseStore{now: at(time.Minute), era: 1}
+		s := newService(st, "a", 0)
+		st.run(t, st.now+at(5*time.Second), s)
+		s.WriteLease = func(ctx context.Context, old, next Lease, announce bool) (Lease, error) {
+			written, err := st.write(ctx, old, next, announce)
+			if announce && err == nil {
+				s.SetHolder(next.Holder)
+			}
+			return written, err
+		}
+		s.SetHolder(announced)
+		st.run(t, st.now+at(2*renewInterval), s)
+		if !s.grants() || s.holder != "a" {
+			t.Errorf("granting %v, announced holder %q after %q, want the host that renews the lease", s.grants(), s.holder, announced)
+		}
+	}
+}
+
+// TestStopDuringTakeover guards against a lease that a stopping host takes and keeps to its end:
+// the write was on its way when the host stopped.
+func TestStopDuringTakeover(t *testing.T) {
+	st := &leaseStore{now: at(time.Minute), era: 1}
+	s := newService(st, "a", 0)
+	stopped := false
+	s.WriteLease = func(ctx context.Context, old, next Lease, announce bool) (Lease, error) {
+		if !stopped {
+			stopped = true
+			s.Stop(ctx)
+		}
+		return st.write(ctx, old, next, announce)
+	}
+	st.run(t, st.now+at(5*time.Second), s)
+	if !stopped || !st.row.Released || s.grants() {
+		t.Errorf("stopped %t during the takeover, the lease is %+v, want it released", stopped, st.row)
+	}
+}
