Rate limits: hold back only for hosts not heard of after a takeover

Change: a host gives up its fallback rates when it accepts a new epoch, names it in its next request, and sends a request when a holder is announced. Granter.SetHosts has the listed hosts, from which alone fallback rates are given; a single one has at most a twelfth of the rate. The granting host holds back that much for each listed host not heard of.

--- a/internal/grants/admit_test.go
+++ b/internal/grants/admit_test.go
@@ -41,3 +41,35 @@
 	cancel()
 	<-done
 }
+
+// TestNewHolderHearsOfHostsWithoutDemand guards against a granting host that holds back a part of the rate for a host
+// that is in touch but has no operations, so that it would send no request.
+func TestNewHolderHearsOfHostsWithoutDemand(t *testing.T) {
+	start := time.Now()
+	s := newService(&leaseStore{down: true}, "a", 9)
+	s.BootTime = func() replicaset.Instant { return at(time.Minute + time.Since(start)) }
+	epochs := make(chan ratelimit.Epoch, 10)
+	s.Exchange = func(_ context.Context, _ string, r ratelimit.Request) (ratelimit.Response, error) {
+		epochs <- r.Epoch
+		return ratelimit.Response{Epoch: 7, Incarnation: r.Incarnation, Sequence: r.Sequence, Recovering: true}, nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	s.SetHolder("b")
+	for _, want := range []ratelimit.Epoch{0, 7} {
+		select {
+		case got := <-epochs:
+			if got != want {
+				t.Errorf("request with epoch %d, want %d", got, want)
+			}
+		case <-time.After(time.Second):
+			t.Errorf("no request with epoch %d within a second", want)
+		}
+	}
+	cancel()
+	<-done
+}
--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -14,7 +14,8 @@
 
 const (
 	// LeaseTime is how long a host may grant without renewing its lease. The next one can start only
-	// after that. Longer outages of the store are bridged by the fallback rates of the hosts.
+	// after that. Outages of the store of 5.5 to 9 s ended a lease of 6 s. Longer ones are bridged by
+	// the fallback rates of the hosts.
 	LeaseTime = 6 * time.Second
 	// renewInterval is the time between two renewals.
 	renewInterval = 1500 * time.Millisecond
@@ -176,6 +177,7 @@
 	s.granter.Start(s.now(), recovery)
 	s.granter.SetLimits(s.now(), s.limits)
 	s.holder = s.Host
+	s.spender.Announce()
 	s.requestSoon()
 	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", next.Epoch, old.Holder))
 }
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -84,15 +84,27 @@
 	s.wake()
 }
 
-// SetHolder sets the granting host as announced in the store; it is empty if none is known.
+// SetHolder sets the granting host as announced in the store; it is empty if none is known. This host
+// answers an announcement with a request, so that a new granting host hears of it.
 func (s *Service) SetHolder(host string) {
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.holder = host
+	if host != "" {
+		s.spender.Announce()
+	}
 	s.requestSoon()
 }
 
+// SetHosts sets the names of the listed hosts, to which this host gives fallback rates if it grants.
+func (s *Service) SetHosts(names []string) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.granter.SetHosts(s.now(), names)
+}
+
 // now returns the time since boot.
 func (s *Service) now() time.Duration { return time.Duration(s.BootTime()) }
 
--- a/internal/ratelimit/bucket.go
+++ b/internal/ratelimit/bucket.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// recoveryPart is the part of the rate that is granted while fallback rates of a former epoch may be in use.
-	recoveryPart = 1 - fallbackPart
 	// fallbackFactor is the fallback rate relative to the recent use of an account at a host.
 	fallbackFactor = 1.5
 	// aheadPart is the part of a bucket up to which tokens are granted ahead. What one host holds is missing at
@@ -80,8 +78,7 @@
 	if now <= b.at {
 		return
 	}
-	reduced := max(min(now, t.reducedUntil)-b.at, 0)
-	refill := b.plan.refill*(now-b.at-reduced).Seconds() + recoveryPart*b.limit.Rate*reduced.Seconds()
+	refill := t.refill(b, b.at, now)
 	cost := b.charged * b.limit.Rate * (now - b.at).Seconds()
 	room := b.limit.depth() - b.ahead
 	b.level = min(b.level+refill-cost, max(room, 0))
@@ -92,6 +89,14 @@
 	b.at = now
 }
 
+// refillRate returns the rate at which the bucket fills while a part is held back.
+func (b *bucket) refillRate(part float64) float64 {
+	if part == 0 {
+		return b.plan.refill
+	}
+	return b.limit.Rate * (1 - part)
+}
+
 // changeLimit sets another limit. The bucket is settled.
 func (b *bucket) changeLimit(now time.Duration, l Limit, p plan, window time.Duration) {
 	old := b.limit
@@ -201,13 +206,13 @@
 	}
 }
 
-// fallback returns the fallback rate for a host, as a part of the limit's rate: in proportion to its recent use, and at
-// most what other hosts leave.
+// fallback returns the fallback rate for a host, as a part of the limit's rate: in proportion to its recent use, at most
+// perHostPart, and at most what other hosts leave.
 func (b *bucket) fallback(e *entry, now time.Duration) float64 {
 	if b.limit.Rate <= 0 || e.use <= 0 || e.reserved == 0 && !b.hasPlace(now) {
 		return 0
 	}
-	part := min(fallbackFactor*e.use/b.limit.Rate, fallbackPart*e.use/max(b.use, e.use))
+	part := min(fallbackFactor*e.use/b.limit.Rate, fallbackPart*e.use/max(b.use, e.use), perHostPart)
 	return max(min(part, fallbackPart-(b.reserved-e.reserved)), 0)
 }
 
@@ -238,11 +243,7 @@
 // deny returns the time after which a host that was denied n tokens should ask again, the time over which retries
 // should be spread, and whether operations should wait for tokens that other hosts hold ahead.
 func (b *bucket) deny(e *entry, now time.Duration, n float64, t term) (askAgain, spread time.Duration, wait bool) {
-	rate := b.plan.refill
-	if now < t.reducedUntil {
-		rate = b.limit.Rate * recoveryPart
-	}
-	rate -= b.charged * b.limit.Rate
+	rate := b.refillRate(t.part(now)) - b.charged*b.limit.Rate
 	if rate <= 0 {
 		return maxAskAgain, maxSpread, false
 	}
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -40,7 +40,7 @@
 		s.unansweredSince = now
 	}
 	s.inFlight, s.lastSent = true, now
-	s.confirm = false
+	s.confirm, s.announced = false, false
 	s.stats.Requests++
 	return r, true
 }
@@ -48,6 +48,9 @@
 // NextRequest returns the time at which Request is due if there is no further demand. It is beyond any clock if none
 // is due then.
 func (s *Spender) NextRequest(time.Duration) time.Duration {
+	if s.announced {
+		return s.lastSent + minInterval
+	}
 	if s.inFlight {
 		return s.lastSent + answerTimeout
 	}
@@ -122,9 +125,17 @@
 	}
 }
 
-// enterEpoch continues with a new granting host or process.
+// Announce makes a request due although there may be no demand, so that a new granting host learns that this host is in
+// touch and has given up its fallback rates.
+func (s *Spender) Announce() {
+	s.announced = true
+}
+
+// enterEpoch continues with a new granting host or process. It ends the fallback rates of the former epoch, and the next
+// request says so.
 func (s *Spender) enterEpoch(e Epoch) {
-	s.epoch = e
+	s.epoch, s.confirm = e, true
+	s.fallback = fallback{}
 	for _, st := range s.accounts {
 		st.enterEpoch()
 		s.enqueue(st, 0)
@@ -135,13 +146,6 @@
 func (s *Spender) updateFallback(now, sentAt time.Duration, r Response) {
 	f := &s.fallback
 	if r.Recovering {
-		if f.epoch < r.Epoch && !f.former {
-			// The granting host has set aside the part of the rate that the former epoch gave to the hosts.
-			f.former = true
-			if !f.active(now) {
-				f.from = now
-			}
-		}
 		return
 	}
 	if f.epoch < r.Epoch {
--- a/internal/ratelimit/granter.go
+++ b/internal/ratelimit/granter.go
@@ -22,7 +22,7 @@
 	// Epoch must be above all former ones.
 	Epoch Epoch
 	// ReducedUntil is the end of the former lease, whoever held it, plus FallbackTime: until then, hosts that have
-	// not been heard from may use fallback rates of the former epoch.
+	// not accepted the epoch may use fallback rates of a former one.
 	ReducedUntil time.Duration
 	// Filled is true if buckets start with some tokens, which two terms must not do within Bounds.StartInterval.
 	Filled bool
@@ -42,13 +42,13 @@
 	// events holds the hosts by the time at which their state changes without a message.
 	events eventQueue
 	stats  GranterStats
-}
-
-// term is the time in which a granter grants under one epoch.
-type term struct {
-	epoch               Epoch
-	start, reducedUntil time.Duration
-	filled              bool
+	// listed holds the listed hosts, with neverDue, and the former ones until they don't count any more. listKnown
+	// is false if there is no list.
+	listed    map[string]time.Duration
+	listKnown bool
+	// heard holds the hosts that accepted the epoch before the end of the recovery, missing the others that may use
+	// fallback rates of former epochs.
+	heard, missing map[string]bool
 }
 
 // Start takes over granting, with buckets that are empty or as full as the bounds permit.
@@ -59,6 +59,10 @@
 	g.touched.Init()
 	g.hosts = make(map[string]*hostState)
 	g.events = nil
+	g.heard, g.missing = make(map[string]bool), nil
+	if now < recovery.ReducedUntil {
+		g.awaitHosts()
+	}
 }
 
 // SetLimits replaces the limits. The map must not be changed afterwards.
@@ -93,6 +97,7 @@
 	}
 	g.stats.Requests++
 	if r.Epoch == g.term.epoch {
+		g.hear(r.Host)
 		for _, it := range r.Items {
 			g.report(h, it)
 		}
@@ -233,7 +238,7 @@
 		g.stats.Denied += uint64(denied)
 		out.AskAgain, out.Spread, out.Wait = b.deny(e, g.now, float64(denied), g.term)
 	}
-	if !recovering {
+	if !recovering && g.mayHaveFallback(h.name) {
 		out.Fallback = b.fallback(e, g.now)
 	}
 	e.fallback = out.Fallback
--- a/internal/ratelimit/message.go
+++ b/internal/ratelimit/message.go
@@ -54,7 +54,7 @@
 	Sequence    Sequence
 	// Lease is the remaining time of the lease, counted from the sending of the request.
 	Lease time.Duration
-	// Recovering is true while fallback rates of the former epoch stay in use.
+	// Recovering is true while no fallback rates are given, because some of former epochs may be in use.
 	Recovering bool
 	// Items answers each item of the request.
 	Items []ResponseItem
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -353,7 +353,7 @@
 	if got := p.s.WaitLimit(at, "a"); got != patience {
 		t.Errorf("with a generated token: %v", got)
 	}
-	// The rate is 5 per second, so that the next tokens are generated after 0.2 s and 0.4 s.
+	// The rate is 50/12 per second, so that the next tokens are generated after 0.24 s and 0.48 s.
 	p.s.Take(at, "a")
 	for i, want := range []time.Duration{patience, 0} {
 		p.s.Take(at, "a")
--- a/internal/ratelimit/spender.go
+++ b/internal/ratelimit/spender.go
@@ -73,6 +73,8 @@
 	// confirm is true if the granting host should learn that its last response was received, because that
 	// response withdrew a fallback rate and no other request may follow.
 	confirm bool
+	// announced is true if a request is due because the granting host has changed.
+	announced bool
 	// lastSent is when the last request was sent, unansweredSince when the first one after the last answer was.
 	lastSent, unansweredSince time.Duration
 	nextReview                time.Duration
@@ -83,12 +85,10 @@
 
 // fallback says when this host may generate tokens itself.
 type fallback struct {
-	// epoch is that of the valid fallback rates. While the granting host recovers, it is the former epoch.
+	// epoch is that of the valid fallback rates, 0 while the granting host recovers.
 	epoch Epoch
 	// from and until bound the generation.
 	from, until time.Duration
-	// former is true while rates of the former epoch are used although the granting host answers.
-	former bool
 }
 
 func (f fallback) active(now time.Duration) bool {
@@ -242,11 +242,8 @@
 		return 0, false
 	}
 	s.stats.Fallback++
-	if !s.fallback.former {
-		// Under the former epoch's rate the granting host has set the part aside and wants no report.
-		st.generated++
-		s.enqueue(st, 0)
-	}
+	st.generated++
+	s.enqueue(st, 0)
 	return now + s.Bounds.Validity(st.limit), true
 }
 
--- a/internal/ratelimit/spending.go
+++ b/internal/ratelimit/spending.go
@@ -143,8 +143,9 @@
 	return min(part+st.rate()*max(now-at, 0).Seconds(), 1)
 }
 
-// enterEpoch starts counting reports anew.
+// enterEpoch starts counting reports anew, and gives up the fallback rate and the generated part of a token.
 func (st *spending) enterEpoch() {
+	st.part, st.fluid = 0, 0
 	st.generated, st.returned, st.reportedHeld = 0, 0, 0
 	for i := range st.tokens {
 		st.tokens[i].former = true
