Limits: a lease of 10 s, renewed every 2 s

Change: LeaseTime 10 s, renewInterval 2 s; eraTime follows (23 s). The tests name the constants and are unchanged. Result: the tests of internal/grants pass.

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -16,9 +16,9 @@
 	// LeaseTime is how long a host may grant without renewing its lease. The next one can start only
 	// after that. Outages of the store of 5.5 to 9 s ended a lease of 6 s. Longer ones are bridged by
 	// the fallback rates of the hosts.
-	LeaseTime = 6 * time.Second
+	LeaseTime = 10 * time.Second
 	// renewInterval is the time between two renewals.
-	renewInterval = 1500 * time.Millisecond
+	renewInterval = 2 * time.Second
 	// leaseMargin is added to the end of another host's lease for the difference of the clocks.
 	leaseMargin = time.Second
 	// eraTime is how long no host takes the lease after it first saw an era of the store: the
