--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -14,10 +14,11 @@
 
 const (
 	// LeaseTime is how long a host may grant without renewing its lease. The next one can start only
-	// after that. Longer outages of the store are bridged by the fallback rates of the hosts.
-	LeaseTime = 6 * time.Second
+	// after that. Outages of the store of 5.5 to 9 s ended a lease of 6 s. Longer ones are bridged by
+	// the fallback rates of the hosts.
+	LeaseTime = 10 * time.Second
 	// renewInterval is the time between two renewals.
-	renewInterval = 1500 * time.Millisecond
+	renewInterval = 2 * time.Second
 	// leaseMargin is added to the end of another host's lease for the difference of the clocks.
 	leaseMargin = time.Second
 	// eraTime is how long no host takes the lease after it first saw an era of the store: the
@@ -190,6 +191,7 @@
 	s.granter.Start(s.now(), recovery)
 	s.granter.SetLimits(s.now(), s.limits)
 	s.holder = s.Host
+	s.spender.Announce()
 	s.requestSoon()
 	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", written.Epoch, old.Holder))
 	return true
--- a/internal/ratelimit/spender.go
+++ b/internal/ratelimit/spender.go
@@ -73,6 +73,8 @@
 	// confirm is true if the granting host should learn that its last response was received, because that
 	// response withdrew a fallback rate and no other request may follow.
 	confirm bool
+	// announced is true if a request is due because the granting host has changed.
+	announced bool
 	// lastSent is when the last request was sent, unansweredSince when the first one after the last answer was.
 	lastSent, unansweredSince time.Duration
 	nextReview                time.Duration
@@ -83,12 +85,10 @@
 
 // fallback says when this host may generate tokens itself.
 type fallback struct {
-	// epoch is that of the valid fallback rates. While the granting host recovers, it is the former epoch.
+	// epoch is that of the valid fallback rates, 0 while the granting host recovers.
 	epoch Epoch
 	// from and until bound the generation.
 	from, until time.Duration
-	// former is true while rates of the former epoch are used although the granting host answers.
-	former bool
 }
 
 func (f fallback) active(now time.Duration) bool {
@@ -118,9 +118,6 @@
 		if l == st.limit {
 			continue
 		}
-		if l.Rate < st.limit.Rate {
-			st.rate *= l.Rate / st.limit.Rate
-		}
 		st.limit = l
 		st.emptyUntil = 0
 		s.enqueue(st, 0)
@@ -198,7 +195,7 @@
 	if due == 0 {
 		return limit
 	}
-	due += seconds(min(float64(max(st.waiting-1, 0))/st.rate, MaxWait.Seconds()))
+	due += seconds(min(float64(max(st.waiting-1, 0))/st.rate(), MaxWait.Seconds()))
 	if due > patience {
 		return limit
 	}
@@ -245,17 +242,14 @@
 		return 0, false
 	}
 	s.stats.Fallback++
-	if !s.fallback.former {
-		// Under the former epoch's rate the granting host has set the part aside and wants no report.
-		st.generated++
-		s.enqueue(st, 0)
-	}
+	st.generated++
+	s.enqueue(st, 0)
 	return now + s.Bounds.Validity(st.limit), true
 }
 
 // hasFallback reports whether the account has a fallback rate of the epoch in force.
 func (s *Spender) hasFallback(st *spending) bool {
-	return st.rate > 0 && st.rateEpoch == s.fallback.epoch
+	return st.rate() > 0 && st.partEpoch == s.fallback.epoch
 }
 
 // reach is the longest time between the grants of two operations in one window.
@@ -268,10 +262,10 @@
 	}
 	start := max(now, s.fallback.from)
 	missing := 1 - st.generatedPart(start, s.fallback.from, s.reach())
-	if start.Seconds()+missing/st.rate >= s.fallback.until.Seconds() {
+	if start.Seconds()+missing/st.rate() >= s.fallback.until.Seconds() {
 		return 0
 	}
-	at := start + seconds(missing/st.rate)
+	at := start + seconds(missing/st.rate())
 	return max(at-now, time.Millisecond)
 }
 
@@ -296,7 +290,7 @@
 	st.removed = true
 	delete(s.accounts, st.account)
 	// Its fallback rate is known to the granting host, which ends it when a request confirms the response.
-	s.confirm = s.confirm || st.rate > 0
+	s.confirm = s.confirm || st.part > 0
 }
 
 // enqueue includes the account in a request from time at on.
