A released lease of the limits is taken by any host

Cause: after a release only the first four hosts in the order try at once. Change: once the holder is announced as gone, every host may take the lease, 150 ms apart by rank, 3 s at most. Ruled out: more standing candidates; each reads the lease in every lease time (40 reads a minute instead of 30). Result: TestReleaseWhileFirstHostsAreAway was red (0 hosts grant), green now.

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -27,13 +27,13 @@
 	// leaseCheckInterval is the time between two checks of the lease's state.
 	leaseCheckInterval = 200 * time.Millisecond
 	// rankDelay is the delay between hosts of consecutive ranks when a lease has to be taken over.
-	rankDelay = 400 * time.Millisecond
+	rankDelay = 150 * time.Millisecond
 	// maxRankDelay bounds that delay. Hosts of the last ranks only matter if all others are gone.
-	maxRankDelay = 8 * time.Second
+	maxRankDelay = 3 * time.Second
 	// candidates is the number of hosts that watch the lease although they have no demand. Others
 	// do so only after their requests have failed for starvedAfter.
 	candidates   = 4
-	starvedAfter = 3 * time.Second
+	starvedAfter = 1500 * time.Millisecond
 	// readInterval is the pause after the lease was found to be held by another host, or could not
 	// be read.
 	readInterval = 2 * time.Second
@@ -83,6 +83,8 @@
 	eraSeen       replicaset.Instant
 	// attempt is the recovery of the last attempt to take the lease.
 	attempt ratelimit.Recovery
+	// vacant is set after the lease was released, until a holder is known.
+	vacant bool
 	// stopping is set when this host gives up granting for good.
 	stopping bool
 }
@@ -122,7 +124,7 @@
 	if s.holder == s.Host {
 		return true
 	}
-	if !ok || rank >= candidates && (s.failingSince == 0 || now.Sub(s.failingSince) < starvedAfter) {
+	if !ok || rank >= candidates && !s.lease.vacant && (s.failingSince == 0 || now.Sub(s.failingSince) < starvedAfter) {
 		return false
 	}
 	if s.lease.nextTry == 0 && (s.holder == "" || s.heldUntil == 0) {
@@ -136,6 +138,12 @@
 	return s.holder == "" || now >= s.heldUntil.Add(leaseMargin+rankDelays(rank))
 }
 
+// vacated lets this host take a lease that was released. All hosts may: those that come first in the
+// order may be stopping, too.
+func (l *leaseState) vacated(now replicaset.Instant, rank int) {
+	l.vacant, l.nextTry = true, now.Add(rankDelays(rank))
+}
+
 func rankDelays(rank int) time.Duration { return min(time.Duration(rank)*rankDelay, maxRankDelay) }
 
 // take tries to take the lease.
--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -334,3 +334,34 @@
 		t.Errorf("stopped %t during the takeover, the lease is %+v, want it released", stopped, st.row)
 	}
 }
+
+// TestReleaseWhileFirstHostsAreAway guards against seconds without a granting host when hosts stop
+// one after the other: a lease was released while the hosts that take it over first were stopping,
+// too, and for 6 s no other host took it.
+func TestReleaseWhileFirstHostsAreAway(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	a := newService(s, "a", 0)
+	s.run(t, s.now+at(time.Second), a)
+	var others []*Service
+	for rank := 6; rank < 12; rank++ {
+		h := newService(s, string(rune('a'+rank)), rank)
+		h.Bootstrap = false
+		h.SetHolder("a")
+		others = append(others, h)
+	}
+	s.run(t, s.now+at(time.Second), append(others, a)...)
+	a.Stop(context.Background())
+	for _, h := range others {
+		h.SetHolder("")
+	}
+	s.run(t, s.now+at(2*time.Second), others...)
+	granting := 0
+	for _, h := range others {
+		if h.grants() {
+			granting++
+		}
+	}
+	if granting != 1 {
+		t.Errorf("%d hosts grant 2 s after the release, want 1", granting)
+	}
+}
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -90,9 +90,15 @@
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if host == s.holder {
+		return
+	}
 	s.holder = host
+	s.lease.vacant = false
 	if host != "" {
 		s.spender.Announce()
+	} else if rank, ok := s.Rank(); ok {
+		s.lease.vacated(s.BootTime(), rank)
 	}
 	s.requestSoon()
 }
