Refuse an operation that reaches the account's limit while it waits

An operation whose first admission had ended while it waited asks for another one. If the account was at its limit by then, the operation asked again, at each member or each 15 ms, until the statement's deadline, and most refusals did not name the time after which the client may retry.

The attempts end with the refusal by the limit.

Red before: TestLimitReachedWhileWaiting, 12 to 129 requests for admission instead of 2, refused after 970 ms as "no primary" or "no endpoint can serve the read".

--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -65,6 +65,13 @@
 	return fmt.Sprintf("the account has reached its limit, retry in %d ms", e.RetryAfter.Milliseconds())
 }
 
+// limitReached reports whether an attempt failed because of the account's limit. Another attempt
+// would need an admission, too.
+func limitReached(err error) bool {
+	var e *LimitError
+	return errors.As(err, &e)
+}
+
 // errSendByPassed reports that an operation waited for longer than its admission is valid.
 var errSendByPassed = errors.New("the operation waited for longer than its admission is valid")
 
--- a/internal/engine/admission_test.go
+++ b/internal/engine/admission_test.go
@@ -114,3 +114,50 @@
 	e.Apply(accountDeclaration(version, accounts...))
 	return e
 }
+
+// TestLimitReachedWhileWaiting guards against an operation that asks for admission again and again
+// until its deadline, after its first admission had ended while it waited and the account had
+// reached its limit meanwhile.
+func TestLimitReachedWhileWaiting(t *testing.T) {
+	tests := []struct {
+		name       string
+		statements []Statement
+		bounded    bool
+	}{
+		{"write", []Statement{{Kind: Write}}, false},
+		{"read of the latest state", []Statement{{Kind: Read}}, false},
+		{"read", []Statement{{Kind: Read}}, true},
+		{"transaction", []Statement{{Kind: Begin}, {Kind: Write}}, false},
+		{"transaction of reads", []Statement{{Kind: Begin, ReadOnly: true}, {Kind: Read}}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := accountEngine(1, "mill")
+			if tt.bounded {
+				d := accountDeclaration(2, "mill")
+				d.Databases["db"] = Database{Name: "db", Group: "g", Consistency: Bounded, MaxAge: time.Minute}
+				e.Apply(d)
+			}
+			g := e.group("g")
+			for _, id := range []replicaset.EndpointID{"a", "b"} {
+				g.Register(e.BootTime(), replicaset.Member{ID: id, Group: "g", Address: string(id), Zone: "z", Role: replicaset.Replica, Slots: 2, Started: 1})
+			}
+			g.SetLead(e.BootTime(), replicaset.Lead{ID: "a", Term: 1, Version: 1})
+			g.Sample("a", e.BootTime(), session.Point{Term: 1, Position: 1})
+			asked := 0
+			e.Admit = func(time.Time, session.Account) (replicaset.Instant, error) {
+				if asked++; asked == 1 {
+					return e.BootTime(), nil
+				}
+				return 0, &LimitError{RetryAfter: 700 * time.Millisecond}
+			}
+			s, o := e.Open("db", "key")
+			for _, st := range tt.statements {
+				o = s.Run(st)
+			}
+			if asked != 2 || o.Code != Busy || o.Reason != (&LimitError{RetryAfter: 700 * time.Millisecond}).Error() {
+				t.Errorf("asked %d times for admission, want twice; refused as %v %q", asked, o.Code, o.Reason)
+			}
+		})
+	}
+}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -222,6 +222,14 @@
 	return out, nil
 }
 
+// recordSample records the log position of the primary if the member was proved
+// to lead when the request was sent.
+func (e *Engine) recordSample(g *group, m replicaset.Member, sentAt replicaset.Instant, p session.Point) {
+	if p != (session.Point{}) && g.Lead().ID == m.ID && g.HasProof(sentAt, ProofTime) {
+		g.Sample(m.ID, sentAt, p)
+	}
+}
+
 // minPosition returns the log position that the call required of the endpoint.
 func (c Call) minPosition(g *group, now replicaset.Instant) session.Point {
 	if c.Freshness == nil {
@@ -247,7 +255,6 @@
 // connection, or because of the account's limit. Such an error does not indicate a fault of the endpoint.
 func notAttempted(err error) bool {
 	var refused *DialError
-	var limited *LimitError
 	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
-		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || errors.As(err, &limited)
+		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || limitReached(err)
 }
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -164,14 +164,6 @@
 	return out[0], true, nil
 }
 
-// recordSample records the log position of the primary if the member was proved
-// to lead when the request was sent.
-func (e *Engine) recordSample(g *group, m replicaset.Member, sentAt replicaset.Instant, p session.Point) {
-	if p != (session.Point{}) && g.Lead().ID == m.ID && g.HasProof(sentAt, ProofTime) {
-		g.Sample(m.ID, sentAt, p)
-	}
-}
-
 // noteFailure records a call that was not answered. If its connection broke, the
 // idle connections to the member are closed too, because they are broken or
 // unresponsive as well. A member that is merely slow keeps them: opening new
@@ -242,6 +234,10 @@
 			return o
 		}
 		s.emitRetry(q, m, o, err)
+		if limitReached(err) {
+			last = o
+			break
+		}
 		busy = busy || errors.Is(err, errOverloaded) || err == nil && o.Code == Busy
 		if err == nil || busy {
 			last = o
@@ -381,7 +377,7 @@
 		}
 		last = o
 		s.emitRetry(q, m, o, err)
-		if errors.Is(err, errOverloaded) {
+		if errors.Is(err, errOverloaded) || limitReached(err) {
 			break
 		}
 		if err == nil && o.Code == Busy {
@@ -421,7 +417,7 @@
 			last = o
 		}
 		s.emitRetry(q, m, o, err)
-		if errors.Is(err, errOverloaded) && s.e.usesAccounts() {
+		if errors.Is(err, errOverloaded) && s.e.usesAccounts() || limitReached(err) {
 			last = o
 			break
 		}
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -62,7 +62,7 @@
 		}
 		s.emitRetry(q, a.member, o, err)
 		busy = busy || errors.Is(err, errOverloaded)
-		if busy && !s.tx.readOnly {
+		if busy && !s.tx.readOnly || limitReached(err) {
 			last = o
 			break
 		}
