Release a lease of the limits that is taken while the host stops

If a host stopped while its takeover was being written, it held nothing that Stop could release. It then took the lease, granted nothing, and kept others from granting for the 6 s of the lease.

A takeover that finds the host stopping releases the lease.

Red before: TestStopDuringTakeover, the lease was not released.

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -170,14 +170,29 @@
 		s.retryLease(s.BootTime().Add(readInterval), err)
 		return
 	}
+	if s.begin(written, old, recovery) {
+		return
+	}
+	if err := s.release(ctx, written); err != nil {
+		s.emit("limits_lease_kept", s.Host, err.Error())
+	}
+}
+
+// begin starts granting under a lease that this host has taken. It returns false if the host has
+// stopped meanwhile.
+func (s *Service) begin(written, old Lease, recovery ratelimit.Recovery) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.lease.stopping {
+		return false
+	}
 	s.lease.hold(written, old.SentAt)
 	s.granter.Start(s.now(), recovery)
 	s.granter.SetLimits(s.now(), s.limits)
 	s.holder = s.Host
 	s.requestSoon()
-	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", next.Epoch, old.Holder))
+	s.emit("limits_granted_here", s.Host, fmt.Sprintf("epoch %d, the former lease was held by %q", written.Epoch, old.Holder))
+	return true
 }
 
 // recoveryFrom returns how this host takes over from a lease, whoever held it. Fallback rates that
--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -315,3 +315,22 @@
 		}
 	}
 }
+
+// TestStopDuringTakeover guards against a lease that a stopping host takes and keeps to its end:
+// the write was on its way when the host stopped.
+func TestStopDuringTakeover(t *testing.T) {
+	st := &leaseStore{now: at(time.Minute), era: 1}
+	s := newService(st, "a", 0)
+	stopped := false
+	s.WriteLease = func(ctx context.Context, old, next Lease, announce bool) (Lease, error) {
+		if !stopped {
+			stopped = true
+			s.Stop(ctx)
+		}
+		return st.write(ctx, old, next, announce)
+	}
+	st.run(t, st.now+at(5*time.Second), s)
+	if !stopped || !st.row.Released || s.grants() {
+		t.Errorf("stopped %t during the takeover, the lease is %+v, want it released", stopped, st.row)
+	}
+}
