Count the time to send a call from when its request was sent

A lender counted the time that an operation's admission leaves from the arrival of the request, and after its waits for memory and for a place among the link's calls. A request that was on its way for long, on a congested link or to a host that was frozen, reached the endpoint that much after its admission had ended. The longest delay was that of the link's pings, some 1.2 s, or of the waits in the lender, up to 10 s.

A request carries the borrower's time since boot. The lender compares it with the fastest request of the link so far and shortens the time by the difference.

Red before: TestDelayedCallIsNotSent, sent 100 ms after the end of the admission.

--- a/internal/lending/accountmessage.go
+++ b/internal/lending/accountmessage.go
@@ -18,6 +18,7 @@
 	Limits   *limitsRequest
 	TargetMS int64
 	Weight   float64
+	SentMS   int64
 }
 
 // accountResponse is the form of a response on links of hosts that use accounts.
@@ -43,11 +44,14 @@
 	if a.SendByMS < 0 || a.SendByMS > maxCallTime.Milliseconds() {
 		return a.Request, fmt.Errorf("%w: %d ms to send the call", errMalformed, a.SendByMS)
 	}
+	if a.SentMS < 0 || a.SentMS > maxMS {
+		return a.Request, fmt.Errorf("%w: sent at %d ms", errMalformed, a.SentMS)
+	}
 	if err := a.checkSchedule(); err != nil {
 		return a.Request, err
 	}
 	a.Request.Account, a.Request.SendByMS, a.Request.Limits = a.Account, a.SendByMS, a.Limits
-	a.Request.TargetMS, a.Request.Weight = a.TargetMS, a.Weight
+	a.Request.TargetMS, a.Request.Weight, a.Request.SentMS = a.TargetMS, a.Weight, a.SentMS
 	return a.Request, a.Request.check()
 }
 
--- a/internal/lending/accounts.go
+++ b/internal/lending/accounts.go
@@ -11,7 +11,7 @@
 	if !accounts {
 		return encode(q)
 	}
-	return encode(accountRequest{Request: q, Account: q.Account, SendByMS: q.SendByMS, Limits: q.Limits, TargetMS: q.TargetMS, Weight: q.Weight})
+	return encode(accountRequest{Request: q, Account: q.Account, SendByMS: q.SendByMS, Limits: q.Limits, TargetMS: q.TargetMS, Weight: q.Weight, SentMS: q.SentMS})
 }
 
 // encodeResponse encodes a response for a link.
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -109,7 +109,8 @@
 	}
 	q := wireRequest(m.Group, m.ID, handle, c)
 	if c.SendBy != 0 {
-		q.SendByMS = max(millis(c.SendBy.Sub(b.BootTime())), 1)
+		now := b.BootTime()
+		q.SendByMS, q.SentMS = max(millis(c.SendBy.Sub(now)), 1), millis(time.Duration(now))
 	}
 	a, err := l.call(c.Deadline, q)
 	l.setLoan(handle, a.Handle)
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -81,6 +81,8 @@
 	budget *budget.Conn
 	// tasks has a place for each task of the link that may run at the same time.
 	tasks chan struct{}
+	// transit is used by the goroutine that reads the link.
+	transit transit
 
 	mu sync.Mutex
 	// loans holds the loans with an open transaction, by handle.
@@ -112,6 +114,7 @@
 			l.Engine.ReportMalformed("borrower", err)
 			return
 		}
+		b.setSendBy(&q)
 		b.dispatch(q, c)
 	}
 }
@@ -179,9 +182,7 @@
 		return b.lender.grant(q)
 	}
 	call := q.call()
-	if q.SendByMS > 0 {
-		call.SendBy = b.lender.Engine.BootTime().Add(time.Duration(q.SendByMS) * time.Millisecond)
-	}
+	call.SendBy = q.sendBy
 	if q.Verb == verbQueryGroup {
 		return response{Knowledge: wireKnowledge(b.lender.Engine.Knowledge(q.Group, call.QueueDeadline))}
 	}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -100,15 +100,20 @@
 	Body      *preparedBody
 	Ops       []op
 	Freshness *freshness
-	// Account, SendByMS, TargetMS, Weight and Limits are sent only over links of hosts that
+	// Account, SendByMS, SentMS, TargetMS, Weight and Limits are sent only over links of hosts that
 	// use accounts, as part of accountRequest. SendByMS is the time left to send the call's
-	// first operation, 0 for no limit. TargetMS is the time left to meet the target latency,
+	// first operation, 0 for no limit, and SentMS the borrower's time since boot when it was
+	// determined. TargetMS is the time left to meet the target latency,
 	// negative if it has passed, 0 for no target.
 	Account  session.Account `cbor:"-"`
 	SendByMS int64           `cbor:"-"`
+	SentMS   int64           `cbor:"-"`
 	TargetMS int64           `cbor:"-"`
 	Weight   float64         `cbor:"-"`
 	Limits   *limitsRequest  `cbor:"-"`
+
+	// sendBy is SendByMS on the lender's clock.
+	sendBy replicaset.Instant
 }
 
 // freshness is the staleness bound of a read for which the lender chooses the log
