End an unreadable lease of the limits after its time

A lease whose row can't be read counts as held by another host for as long as one can be. That time began anew with each read, so no host granted for as long as the row stayed: limited accounts were refused everywhere once the fallback rates had ended.

A lease whose version has not changed for the time of a lease and the margin has ended, whatever it says.

Red before: TestUnreadableLeaseEnds, the unreadable lease was in force 12 s after it was first seen.

--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -80,6 +80,10 @@
 	// that this process saw.
 	era, firstEra revision.Era
 	eraSeen       replicaset.Instant
+	// shown is the version of the lease in the store that this host read last, and shownAt when it
+	// first read it.
+	shown   revision.Version
+	shownAt replicaset.Instant
 	// attempt is the recovery of the last attempt to take the lease.
 	attempt ratelimit.Recovery
 	// stopping is set when this host gives up granting for good.
@@ -233,7 +237,12 @@
 	if old.Version == 0 || old.Released || old.Holder == host {
 		return 0
 	}
-	return max(old.Until+leaseMargin-old.Now, 0)
+	if old.Version != l.shown || l.shownAt == 0 {
+		l.shown, l.shownAt = old.Version, now
+	}
+	// A lease that was not renewed for its time has ended, also if its end can't be read.
+	unchanged := l.shownAt.Add(LeaseTime + leaseMargin).Sub(now)
+	return max(min(old.Until+leaseMargin-old.Now, unchanged), 0)
 }
 
 // nextEpoch returns an epoch above that of a lease and above all those of earlier eras.
--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -334,3 +334,28 @@
 		t.Errorf("stopped %t during the takeover, the lease is %+v, want it released", stopped, st.row)
 	}
 }
+
+// TestUnreadableLeaseEnds guards against a fleet in which no host grants for as long as the row of
+// the lease can't be read: each read took it for a lease that had just been renewed.
+func TestUnreadableLeaseEnds(t *testing.T) {
+	st := &leaseStore{now: at(time.Minute), era: 1}
+	st.row = Lease{Holder: "?", Epoch: 7, Era: 1, Version: 3}
+	a, b := newService(st, "a", 0), newService(st, "b", 1)
+	for _, s := range []*Service{a, b} {
+		s.ReadLease = func(ctx context.Context) (Lease, error) {
+			l, err := st.read(ctx)
+			if l.Holder == "?" {
+				l.Until, l.FilledAt = l.Now+LeaseTime, l.Now
+			}
+			return l, err
+		}
+	}
+	st.run(t, st.now+at(LeaseTime), a, b)
+	if a.grants() || b.grants() {
+		t.Error("a host grants while the lease may be in use")
+	}
+	st.run(t, st.now+at(LeaseTime), a, b)
+	if !a.grants() && !b.grants() || st.row.Epoch <= 7 {
+		t.Errorf("12 s after an unreadable lease was seen, the lease is %+v, want one of a host that grants", st.row)
+	}
+}
