--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -36,9 +36,9 @@
 	// readInterval is the pause after the lease was found to be held by another host, or could not
 	// be read.
 	readInterval = 2 * time.Second
-	// epochsPerEra is the number of epochs in an era of the store. An epoch that the store lost is
+	// EpochsPerEra is the number of epochs in an era of the store. An epoch that the store lost is
 	// not given out again in a later era.
-	epochsPerEra = 1 << 32
+	EpochsPerEra = 1 << 32
 )
 
 var (
@@ -247,7 +247,7 @@
 
 // nextEpoch returns an epoch above that of a lease and above all those of earlier eras.
 func nextEpoch(old Lease) ratelimit.Epoch {
-	return max(old.Epoch+1, ratelimit.Epoch(old.ReadEra)*epochsPerEra)
+	return max(old.Epoch+1, ratelimit.Epoch(old.ReadEra)*EpochsPerEra)
 }
 
 // retryLease sets the time of the next attempt.
