--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -222,6 +222,14 @@
 	return out, nil
 }
 
+// recordSample records the log position of the primary if the member was proved
+// to lead when the request was sent.
+func (e *Engine) recordSample(g *group, m replicaset.Member, sentAt replicaset.Instant, p session.Point) {
+	if p != (session.Point{}) && g.Lead().ID == m.ID && g.HasProof(sentAt, ProofTime) {
+		g.Sample(m.ID, sentAt, p)
+	}
+}
+
 // minPosition returns the log position that the call required of the endpoint.
 func (c Call) minPosition(g *group, now replicaset.Instant) session.Point {
 	if c.Freshness == nil {
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -161,14 +161,6 @@
 	return out[0], true, nil
 }
 
-// recordSample records the log position of the primary if the member was proved
-// to lead when the request was sent.
-func (e *Engine) recordSample(g *group, m replicaset.Member, sentAt replicaset.Instant, p session.Point) {
-	if p != (session.Point{}) && g.Lead().ID == m.ID && g.HasProof(sentAt, ProofTime) {
-		g.Sample(m.ID, sentAt, p)
-	}
-}
-
 // noteFailure records a call that was not answered. If its connection broke, the
 // idle connections to the member are closed too, because they are broken or
 // unresponsive as well. A member that is merely slow keeps them: opening new
--- a/internal/grants/lease.go
+++ b/internal/grants/lease.go
@@ -37,9 +37,9 @@
 	// readInterval is the pause after the lease was found to be held by another host, or could not
 	// be read.
 	readInterval = 2 * time.Second
-	// epochsPerEra is the number of epochs in an era of the store. An epoch that the store lost is
+	// EpochsPerEra is the number of epochs in an era of the store. An epoch that the store lost is
 	// not given out again in a later era.
-	epochsPerEra = 1 << 32
+	EpochsPerEra = 1 << 32
 )
 
 var (
@@ -81,6 +81,10 @@
 	// that this process saw.
 	era, firstEra revision.Era
 	eraSeen       replicaset.Instant
+	// shown is the version of the lease in the store that this host read last, and shownAt when it
+	// first read it.
+	shown   revision.Version
+	shownAt replicaset.Instant
 	// attempt is the recovery of the last attempt to take the lease.
 	attempt ratelimit.Recovery
 	// vacant is set after the lease was released, until a holder is known.
@@ -243,12 +247,17 @@
 	if old.Version == 0 || old.Released || old.Holder == host {
 		return 0
 	}
-	return max(old.Until+leaseMargin-old.Now, 0)
+	if old.Version != l.shown || l.shownAt == 0 {
+		l.shown, l.shownAt = old.Version, now
+	}
+	// A lease that was not renewed for its time has ended, also if its end can't be read.
+	unchanged := l.shownAt.Add(LeaseTime + leaseMargin).Sub(now)
+	return max(min(old.Until+leaseMargin-old.Now, unchanged), 0)
 }
 
 // nextEpoch returns an epoch above that of a lease and above all those of earlier eras.
 func nextEpoch(old Lease) ratelimit.Epoch {
-	return max(old.Epoch+1, ratelimit.Epoch(old.ReadEra)*epochsPerEra)
+	return max(old.Epoch+1, ratelimit.Epoch(old.ReadEra)*EpochsPerEra)
 }
 
 // retryLease sets the time of the next attempt.
