soak: runs with client accounts

Cause: no run of real hosts under faults used accounts or limits, so keys and limits were checked within one process only. Change: the plan accounts enables both, moves keys with configurations while callers are connected, and kills, stops, pauses or cuts off the host that grants limits. Checks from what the endpoints ran: the account of each statement, refusal of revoked keys, and the operations of each account in any 5 s. Random choices of the other plans are unchanged.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -35,11 +35,14 @@
 	itemsByGroup [groups][]*item
 	items        []*item
 	conn         *standin.Caller
-	session      string
-	sessions     int
-	database     string
-	group        int
-	host         *process
+	// key is the key of the session, began when its last single statement or transaction was sent.
+	key      string
+	began    time.Time
+	session  string
+	sessions int
+	database string
+	group    int
+	host     *process
 	// values has the session values that the session has set.
 	values map[string]string
 	// prepared maps the name of each prepared statement to its text.
@@ -86,7 +89,7 @@
 		c.newItem(len(c.items))
 	}
 	c.values, c.prepared = make(map[string]string), make(map[string]string)
-	conn, err := standin.Connect(c.host.callerAddress, name, answerTimeout)
+	conn, err := c.connect(name)
 	if err != nil {
 		c.pause(ctx)
 		return
@@ -145,7 +148,10 @@
 // unless the caller timed out, or the end came within unreadCutWindow and no endpoint
 // ran the request.
 func (c *caller) query(s *sentStatement) (standin.Answer, error) {
-	s.values = maps.Clone(c.values)
+	if s.transaction == "" {
+		c.began = time.Now()
+	}
+	s.values, s.key, s.began = maps.Clone(c.values), c.key, c.began
 	id := c.l.recordStatement(s)
 	a, err := c.conn.Query(id, s.text)
 	c.l.recordAnswer(s, a, err)
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -10,6 +10,10 @@
 // all faults and their times within a run. Faults within a switch start when a host has
 // recorded it, a replica is paused, or the promote call arrives.
 //
+// Runs with client accounts (PlanAccounts) have configurations that move keys between accounts, one
+// account far above its limit, and faults of the host that grants limits. They check under which
+// account each statement ran, that revoked keys are refused, and the operations of each account.
+//
 // # Usage
 //
 //	report, err := soak.Run(ctx, soak.Options{Binary: "target/cumintrestle-entry", Seed: 1, Length: 12 * time.Second})
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -26,8 +26,11 @@
 	values            map[string]string
 	transaction       string
 	at                time.Time
-	answer            standin.Answer
-	answered          bool
+	// key is the key of the session, began when its single statement or transaction was sent.
+	key      string
+	began    time.Time
+	answer   standin.Answer
+	answered bool
 }
 
 // ackedWrite is an acknowledged write of value number n of an item.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,7 +34,8 @@
 	LogDir string
 	// Note receives messages about the soak itself; it may be nil.
 	Note func(line string)
-	// Plan names the plan that is derived from the seed: PlanMixed, PlanSwitches or PlanPrimaries.
+	// Plan names the plan that is derived from the seed: PlanMixed, PlanSwitches, PlanPrimaries or
+	// PlanAccounts.
 	Plan string
 	// Faults replaces the plan derived from the seed.
 	Faults []Fault
@@ -47,11 +48,13 @@
 	PlanSwitches = "switches"
 	// PlanPrimaries is PrimaryPlan.
 	PlanPrimaries = "primaries"
+	// PlanAccounts is AccountPlan. Client accounts and their limits are in use.
+	PlanAccounts = "accounts"
 )
 
 // plans has the plans by name.
 var plans = map[string]func(seed uint64, length time.Duration, hosts int) []Fault{
-	PlanMixed: Plan, PlanSwitches: SwitchPlan, PlanPrimaries: PrimaryPlan,
+	PlanMixed: Plan, PlanSwitches: SwitchPlan, PlanPrimaries: PrimaryPlan, PlanAccounts: AccountPlan,
 }
 
 // Report is the result of a run.
@@ -64,11 +67,13 @@
 	Promotions  int    `json:"promotions"`
 	RecoveredMS int64  `json:"recovered_ms"`
 	// SwitchFaults is the number of faults that started within a switch.
-	SwitchFaults int            `json:"switch_faults"`
-	Gaps         []Gap          `json:"gaps"`
-	Faults       []Fault        `json:"faults"`
-	Seconds      []secondCounts `json:"seconds"`
-	Violations   []Violation    `json:"violations"`
+	SwitchFaults int `json:"switch_faults"`
+	// Accounts has the use of each account.
+	Accounts   []AccountUse   `json:"accounts,omitempty"`
+	Gaps       []Gap          `json:"gaps"`
+	Faults     []Fault        `json:"faults"`
+	Seconds    []secondCounts `json:"seconds"`
+	Violations []Violation    `json:"violations"`
 }
 
 func (o Options) note(line string) {
@@ -115,7 +120,9 @@
 	}
 	time.Sleep(statementDrainTime)
 	report.Gaps, report.SwitchFaults = l.checkSwitches(w.groups), w.sprung
-	report.Violations = l.check(w.collect())
+	runs, logs, tokens := w.collect()
+	report.Accounts = l.checkAccounts(w.accounts, runs)
+	report.Violations = l.check(runs, logs, tokens)
 	report.Statements, report.Seconds = len(l.sent), l.seconds
 	report.Promotions = len(w.store.Tokens())
 	return report, nil
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -188,5 +188,10 @@
 		if report.Statements == 0 {
 			t.Errorf("seed %d: no statement was run", p.Seed)
 		}
+		for _, u := range report.Accounts {
+			if u.Operations == 0 {
+				t.Errorf("seed %d: account %s ran no operation", p.Seed, u.Account)
+			}
+		}
 	}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -54,6 +54,8 @@
 	endpointProxies map[string]*proxy
 	hosts           []*process
 	connLimit       int
+	// accounts is nil unless client accounts are in use.
+	accounts *accountWorld
 	// traps is nil unless the plan has faults within switches; sprung counts those.
 	traps  *switchTraps
 	sprung int
@@ -122,6 +124,9 @@
 	if opt.Plan == PlanSwitches {
 		w.watchSwitches()
 	}
+	if opt.Plan == PlanAccounts {
+		w.useAccounts()
+	}
 	w.openEra()
 	w.moveDatabase(0)
 	w.updateEndpoints()
@@ -189,7 +194,10 @@
 	v := w.version
 	w.configs = append(w.configs, configVersion{v, group, time.Now()})
 	w.mu.Unlock()
-	w.store.Put("op", "config", standin.Config(v, w.routes(group), w.limits()))
+	config := standin.Config(v, w.routes(group), w.limits())
+	w.accounts.declare(config)
+	w.store.Put("op", "config", config)
+	w.accounts.stored()
 	w.mu.Lock()
 	w.configs[len(w.configs)-1].at = time.Now()
 	w.mu.Unlock()
@@ -258,6 +266,9 @@
 		"store_address": p.storeProxy.address(), "promote_address": p.promoteProxy.address(),
 		"memory_mb": 200, "cpu_share": 0.4, "grace_s": graceTime.Seconds(), "drain_ms": 7000,
 	}
+	if w.accounts != nil {
+		standin.AddAccountSettings(settings, limitWindow, limitOverage, limitSlack)
+	}
 	body, err := json.Marshal(settings)
 	if err == nil {
 		err = os.WriteFile(p.settingsPath, body, 0o600)
