Idle hosts answer a holder of the limits that is announced again

Cause: a change of SetHolder ignored an announcement of the host that is known already, so that idle hosts did not send a request to a restarted holder, which held back a part of the rate for them. Change: each announcement of a holder makes a request due; only a change to none counts as a release. Result: TestRestartedHolderHearsOfIdleHosts is red without the change.

--- a/internal/grants/lease_test.go
+++ b/internal/grants/lease_test.go
@@ -390,3 +390,25 @@
 		t.Errorf("12 s after an unreadable lease was seen, the lease is %+v, want one of a host that grants", st.row)
 	}
 }
+
+// TestRestartedHolderHearsOfIdleHosts guards against a restarted holder that holds back a part of the
+// rate for hosts which live but have no demand: they must send a request when it is announced again.
+func TestRestartedHolderHearsOfIdleHosts(t *testing.T) {
+	s := &leaseStore{now: at(time.Minute), era: 1}
+	b := newService(s, "b", 1)
+	for epoch := range ratelimit.Epoch(2) {
+		b.SetHolder("a")
+		r, due := b.spender.Request(b.now())
+		if !due {
+			t.Fatalf("a host without demand sends nothing when the holder is announced, epoch %d", epoch+1)
+		}
+		b.spender.Receive(b.now(), b.now(), ratelimit.Response{Epoch: epoch + 1, Incarnation: 1, Sequence: r.Sequence, Lease: LeaseTime})
+		for range 20 {
+			// Requests that only confirm the last response.
+			s.now = s.now.Add(300 * time.Millisecond)
+			if r, due := b.spender.Request(b.now()); due {
+				b.spender.Receive(b.now(), b.now(), ratelimit.Response{Epoch: epoch + 1, Incarnation: 1, Sequence: r.Sequence, Lease: LeaseTime})
+			}
+		}
+	}
+}
--- a/internal/grants/service.go
+++ b/internal/grants/service.go
@@ -90,14 +90,14 @@
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if host == s.holder {
-		return
-	}
+	released := host == "" && s.holder != ""
 	s.holder = host
-	s.lease.vacant = false
 	if host != "" {
+		// Also for the same host, which may have restarted.
+		s.lease.vacant = false
 		s.spender.Announce()
-	} else if rank, ok := s.Rank(); ok {
+	}
+	if rank, ok := s.Rank(); released && ok {
 		s.lease.vacated(s.BootTime(), rank)
 	}
 	s.requestSoon()
