Stopping host answers the statements that still wait when it exits

What callers saw: around overlapping rolling restarts a request that a host had taken got no answer; the connection ended 5.5 s after SIGTERM.

Cause: nothing bounded a statement by the end of the grace period. A statement may wait in the host for a connection, a proof or a retry until its own time limit, and the host exited exitMargin before SIGKILL with such statements left. While several hosts stop at once, few connections to an endpoint are left, so these waits are long.

What changed: statements that begin after SIGTERM have no time limit beyond the exit, so that queues refuse at once what they can't serve by then. When the exit comes, the host gives up the statements that are left and answers each: BUSY if nothing was sent that could commit, ABORTED in a transaction, INDOUBT if a write or commit may have been sent. A statement that was given up sends no write or commit any more, so the promise holds.

--- a/cmd/cumintrestle-soak/main.go
+++ b/cmd/cumintrestle-soak/main.go
@@ -28,7 +28,7 @@
 	flaggy.Int(&callers, "c", "callers", "callers at a time")
 	flaggy.String(&logs, "l", "logs", "folder that keeps the hosts' logs")
 	flaggy.String(&plot, "p", "plot", "PNG file: service over time and the faults of the last run")
-	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, or accounts")
+	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, accounts, or restarts")
 	flaggy.Parse()
 
 	if first == 0 {
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -44,7 +44,10 @@
 	Weight   float64
 	// AnyState marks requests that do not depend on session state.
 	AnyState bool
-	Ops      []Op
+	// Begin, if set, is called before the first request is sent. The call is not sent if it
+	// returns false.
+	Begin func() bool
+	Ops   []Op
 }
 
 // Freshness is the staleness bound of a read, measured when its call arrives, and
@@ -80,6 +83,9 @@
 // be used again.
 func (c *Conn) Run(call Call) ([]Outcome, error) {
 	if c.RunRemote != nil {
+		if call.givenUp() {
+			return nil, NotSent(errGivenUp)
+		}
 		return c.RunRemote(call)
 	}
 	if c.gate != nil && !call.AnyState && c.gate.admits(call) {
@@ -107,7 +113,7 @@
 	}
 	began := c.gate.now()
 	out, err := c.run(call)
-	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil && !errors.Is(err, errSendByPassed)
+	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil && !notAttempted(err)
 	c.gate.end(r, a)
 	return out, err
 }
@@ -117,6 +123,9 @@
 	return call.SendBy != 0 && c.bootTime != nil && c.bootTime() > call.SendBy
 }
 
+// givenUp reports whether the call must not be sent any more.
+func (c Call) givenUp() bool { return c.Begin != nil && !c.Begin() }
+
 // commitsWrites reports whether the call ends with a commit of writes. While such a
 // call waits for replicas, it occupies no slot of the endpoint.
 func (c Call) commitsWrites() bool { return len(c.Ops) > 0 && c.Ops[len(c.Ops)-1].Commits }
@@ -131,6 +140,9 @@
 			return nil, NotSent(errSendByPassed)
 		}
 	}
+	if call.givenUp() {
+		return nil, NotSent(errGivenUp)
+	}
 	var all []Outcome
 	for _, op := range call.Ops {
 		if op.Kind == OpExecute {
@@ -255,6 +267,6 @@
 // connection, or because of the account's limit. Such an error does not indicate a fault of the endpoint.
 func notAttempted(err error) bool {
 	var refused *DialError
-	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
+	return errors.Is(err, errNoProof) || errors.Is(err, errNoPosition) || errors.Is(err, errOverloaded) || errors.Is(err, errSendByPassed) || errors.Is(err, errGivenUp) || errors.Is(err, errFull) || errors.Is(err, errNoConnection) ||
 		errors.Is(err, ErrLenderUnavailable) || errors.As(err, &refused) || limitReached(err)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -75,6 +75,8 @@
 	demand demand
 
 	declared atomic.Pointer[Declared]
+	// stopBy is when the host exits, nil unless it stops.
+	stopBy atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	groups map[session.Group]*group
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -62,10 +62,6 @@
 	return SessionState{Values: s.values, Body: q.body}
 }
 
-func (s *CallerSession) deadline(db Database) time.Time {
-	return s.e.Now().Add(db.Timeout() - answerMargin)
-}
-
 // runSingle runs one statement outside of a transaction.
 func (s *CallerSession) runSingle(q query) Outcome {
 	deadline := s.deadline(s.db)
@@ -150,8 +146,14 @@
 	}
 	defer p.release(c)
 	op := q.op(a.minPosition)
-	op.Commits = q.writes
-	out, err := s.e.perform(a.g, a.member, c, a.call(s.sessionState(q), op))
+	call := a.call(s.sessionState(q), op)
+	if q.writes {
+		call.Ops[0].Commits, call.Begin = true, s.progress.beginCommit
+	}
+	out, err := s.e.perform(a.g, a.member, c, call)
+	if err != nil && !Sent(err) || err == nil && out[0].Code.notRun() {
+		s.progress.endCommit()
+	}
 	if err != nil {
 		s.e.noteFailure(a.g, p, err)
 		s.noteSent(Sent(err))
@@ -414,7 +416,7 @@
 			last = o
 		}
 		s.emitRetry(q, m, o, err)
-		if errors.Is(err, errOverloaded) && s.e.usesAccounts() || limitReached(err) {
+		if errors.Is(err, errOverloaded) && s.e.usesAccounts() || limitReached(err) || errors.Is(err, errGivenUp) {
 			last = o
 			break
 		}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -36,6 +36,7 @@
 	tx        *transaction
 	// attended is the group that the session counts as a client of.
 	attended session.Group
+	progress progress
 }
 
 // maxSessionState bounds the names, values and prepared statements of one session, in bytes.
@@ -115,6 +116,7 @@
 // Run runs one statement.
 func (s *CallerSession) Run(st Statement) Outcome {
 	s.arrivedAt = s.e.Now()
+	s.progress.begin(s.state, st.Kind)
 	o := s.run(st)
 	o.State = s.state
 	return o
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -197,7 +197,11 @@
 	a := attempt{g: tx.g, member: tx.member, class: classInTransaction, queueDeadline: deadline, deadline: deadline}
 	s.schedule(&a)
 	for pause := retryPause; ; pause = min(2*pause, maxRetryPause) {
-		out, err := s.e.perform(tx.g, tx.member, tx.conn, a.call(state, op))
+		call := a.call(state, op)
+		if op.Commits {
+			call.Begin = s.progress.beginCommit
+		}
+		out, err := s.e.perform(tx.g, tx.member, tx.conn, call)
 		if err != nil {
 			return Outcome{}, err
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -34,8 +34,8 @@
 	LogDir string
 	// Note receives messages about the soak itself; it may be nil.
 	Note func(line string)
-	// Plan names the plan that is derived from the seed: PlanMixed, PlanSwitches, PlanPrimaries or
-	// PlanAccounts.
+	// Plan names the plan that is derived from the seed: PlanMixed, PlanSwitches, PlanPrimaries,
+	// PlanAccounts or PlanRestarts.
 	Plan string
 	// Faults replaces the plan derived from the seed.
 	Faults []Fault
@@ -50,11 +50,14 @@
 	PlanPrimaries = "primaries"
 	// PlanAccounts is AccountPlan. Client accounts and their limits are in use.
 	PlanAccounts = "accounts"
+	// PlanRestarts is RestartPlan. Endpoints take time for statements.
+	PlanRestarts = "restarts"
 )
 
 // plans has the plans by name.
 var plans = map[string]func(seed uint64, length time.Duration, hosts int) []Fault{
 	PlanMixed: Plan, PlanSwitches: SwitchPlan, PlanPrimaries: PrimaryPlan, PlanAccounts: AccountPlan,
+	PlanRestarts: RestartPlan,
 }
 
 // Report is the result of a run.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -108,6 +108,9 @@
 		if opt.Plan != PlanMixed {
 			g.PromoteAfter, g.CommitWait = promoteTimes[opt.Seed%2], statementTimeout
 		}
+		if opt.Plan == PlanRestarts {
+			g.Work = workTime(opt.Seed)
+		}
 		for _, d := range g.Databases[membersPerGroup:] {
 			d.Leave()
 		}
@@ -209,10 +212,10 @@
 	var all []standin.Route
 	for i, g := range w.groups {
 		for _, kind := range []string{"primary", "bounded", "session"} {
-			all = append(all, standin.Route{Database: fmt.Sprintf("%s%d", kind, i), Kind: kind, Group: g.Name, Timeout: statementTimeout, MaxAge: maxAge})
+			all = append(all, standin.Route{Database: fmt.Sprintf("%s%d", kind, i), Kind: kind, Group: g.Name, Timeout: w.statementTimeout(), MaxAge: maxAge})
 		}
 	}
-	return append(all, standin.Route{Database: "moving", Kind: "bounded", Group: w.groups[moving].Name, Timeout: statementTimeout, MaxAge: maxAge})
+	return append(all, standin.Route{Database: "moving", Kind: "bounded", Group: w.groups[moving].Name, Timeout: w.statementTimeout(), MaxAge: maxAge})
 }
 
 func (w *world) limits() standin.Limits {
