Lender that stops closes its links with word of what has not run

What callers saw: writes ended INDOUBT though nothing but planned restarts happened.

Cause: a host that lends connections exits once no call runs. A call that was on its way then, or unread in the socket, ended with a broken link, which the borrower has to take for one that may have run. Unread bytes also reset the connection, so that answers on their way could be lost with it.

What changed: before it exits, the lender stops to run requests, lets those that run be answered, and closes each link with the WebSocket status 1001. A borrower takes that as word that its pending calls have not run, and asks the next lender. The close handshake reads what is left, so nothing is reset. A link on which a call still runs at the exit is left as it is: that call is in doubt. The answers "not sent" and "maybe sent" of a lender have errors of their own; they read like a broken link before, which hid the cause.

TestLeavingLenderTellsWhatHasNotRun fails if the link is closed without the status.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -37,6 +37,9 @@
 var (
 	errLinkBroken = errors.New("link to the lending host is broken")
 	errTimeout    = errors.New("timeout waiting for the lending host")
+	// errNotRun and errMaybeRun are what a lender says of a call that failed at the endpoint.
+	errNotRun     = errors.New("the lending host could not send the call")
+	errMaybeRun   = errors.New("the lending host lost the endpoint while the call ran")
 	errNotLending = errors.New("the lending host is not lending connections")
 	// errNotGranting reports that the host that was asked for tokens does not grant any.
 	errNotGranting = errors.New("the host does not grant tokens")
@@ -89,8 +92,9 @@
 	lastUsed time.Time
 	// wantedAt is when Preconnect last asked for the link.
 	wantedAt time.Time
-	// unused is set if the link is closed because nobody uses it.
-	unused bool
+	// unused is set if the link is closed because nobody uses it, left if the lender has closed it
+	// after it had answered all calls that it has run.
+	unused, left bool
 	// watched is set while keepalive waits for pingInterval, because of a call.
 	watched bool
 	// called receives a value if a call is sent while the link is not watched.
@@ -169,9 +173,9 @@
 	case failSendByPassed:
 		return engine.NotSent(engine.ErrSendByPassed)
 	case failNotSent:
-		return engine.NotSent(errLinkBroken)
+		return engine.NotSent(errNotRun)
 	}
-	return errLinkBroken
+	return errMaybeRun
 }
 
 // Preconnect opens a link to a lender ahead of demand, unless there are
@@ -327,6 +331,7 @@
 	for {
 		_, body, err := l.ws.Read(l.ctx)
 		if err != nil {
+			l.noteEnd(err)
 			return
 		}
 		a, err := l.b.decode(body)
@@ -383,7 +388,7 @@
 	select {
 	case a, ok := <-ch:
 		if !ok {
-			return response{}, errLinkBroken
+			return response{}, l.endError()
 		}
 		return a, nil
 	case <-t.C:
--- /dev/null
+++ b/internal/lending/leave_test.go
@@ -0,0 +1,64 @@
+package lending
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/engine"
+)
+
+// TestLeavingLenderTellsWhatHasNotRun guards against writes in doubt beside planned restarts: a call
+// that reached a lender that was about to exit counted as one that may have run.
+func TestLeavingLenderTellsWhatHasNotRun(t *testing.T) {
+	p := newPair(t)
+	results := map[string]chan error{"hang": make(chan error, 1), "late": make(chan error, 1)}
+	call := func(text string) {
+		_, _, err := p.run(0, time.Minute, engine.SessionState{}, engine.Op{Kind: engine.OpBegin, Text: text})
+		results[text] <- err
+	}
+	go call("hang")
+	for p.dials.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	left := make(chan struct{})
+	go func() { p.lender.Leave(time.Now().Add(10 * time.Second)); close(left) }()
+	time.Sleep(50 * time.Millisecond)
+	go call("late")
+	time.Sleep(50 * time.Millisecond)
+	p.hang <- struct{}{}
+	<-left
+	if err := <-results["hang"]; err != nil {
+		t.Errorf("a call that ran when the lender began to leave: %v, want its answer", err)
+	}
+	if err := <-results["late"]; !errors.Is(err, engine.ErrLenderUnavailable) || engine.Sent(err) {
+		t.Errorf("a call that the lender has not run: %v, want an error that says so", err)
+	}
+	if len(p.kinds) != 1 {
+		t.Errorf("the endpoint received %d requests, want 1", len(p.kinds))
+	}
+}
+
+// TestLeavingLenderWithRunningCall guards against false promises: a call that still runs when the
+// lender exits may have taken effect.
+func TestLeavingLenderWithRunningCall(t *testing.T) {
+	p := newPair(t)
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := p.run(0, time.Minute, engine.SessionState{}, engine.Op{Kind: engine.OpBegin, Text: "hang"})
+		result <- err
+	}()
+	for p.dials.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.lender.Leave(time.Now().Add(50 * time.Millisecond))
+	p.b.mu.Lock()
+	for _, l := range p.b.links {
+		// The process exits.
+		l.cancel()
+	}
+	p.b.mu.Unlock()
+	if err := <-result; !engine.Sent(err) {
+		t.Errorf("a call that ran when the lender exited: %v, want an error that says that it may have run", err)
+	}
+}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -50,6 +50,11 @@
 
 	// calls is the number of calls that run, transactions that of open transactions.
 	calls, transactions atomic.Int64
+
+	mu    sync.Mutex
+	links map[*borrowerLink]struct{}
+	// leaving is set once Leave was called.
+	leaving bool
 }
 
 // InUse returns the number of borrowers' calls that run on this host's connections, and of their
@@ -88,6 +93,11 @@
 	// loans holds the loans with an open transaction, by handle.
 	loans  map[uint64]*loan
 	closed bool
+	// running counts the requests that are run. None is begun once leaving is set, and idle, if
+	// set, is closed when the last one has been answered.
+	running int
+	leaving bool
+	idle    chan struct{}
 }
 
 // ServeHTTP serves one link until it breaks.
@@ -104,6 +114,10 @@
 		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, l.linkCalls()), loans: make(map[uint64]*loan),
 	}
 	defer b.abortLoans()
+	if !l.addLink(b) {
+		return
+	}
+	defer l.removeLink(b)
 	for {
 		body, c, err := b.receive()
 		if err != nil {
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -151,6 +151,7 @@
 // lendingPair is a lender with connections to one fake endpoint, and a borrower.
 type lendingPair struct {
 	b           *Borrower
+	lender      *Lender
 	server      *httptest.Server
 	member      replicaset.Member
 	dials       atomic.Int64
@@ -189,7 +190,8 @@
 		}, nil
 	}
 	e.Group("g").Register(1, p.member)
-	p.server = httptest.NewServer(&Lender{Engine: e, Unavailable: p.unavailable.Load})
+	p.lender = &Lender{Engine: e, Unavailable: p.unavailable.Load}
+	p.server = httptest.NewServer(p.lender)
 	p.b = &Borrower{DialContext: (&net.Dialer{}).DialContext, OnDown: func(string) {}}
 	t.Cleanup(func() {
 		close(p.hang)
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -124,10 +124,16 @@
 			return
 		}
 	}
+	if !b.beginRequest() {
+		b.release(c)
+		b.budget.Release(budget.SmallLinks, cost)
+		return
+	}
 	b.tasks <- struct{}{}
 	b.noteState()
 	b.start(func() {
 		defer func() {
+			b.endRequest()
 			<-b.tasks
 			b.noteState()
 			b.release(c)
