Close no session for another one while its statement runs

What callers saw: where a host has as many sessions as its limits allow, as while most hosts of a zone restart, a request got no answer though it ran at an endpoint: the connection was closed in the middle.

Cause: a session counted as idle until its message had been read and taken over. A new session could choose it as the idle one to close in between, and closed its connection while the statement ran. Choosing and taking over were not one step.

What changed: the state of a connection changes by compare-and-swap.

Links between hosts have the same window; a call lost there is in doubt at its borrower, not cut off.

--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -275,3 +275,25 @@
 		t.Errorf("%d lines about %d refusals in 2 s, want 4 about 102", lines, counted)
 	}
 }
+
+// TestMessageOfEvictedConnection guards against requests that are cut off: a connection counted as idle
+// after its message had been read, and was closed while the message ran.
+func TestMessageOfEvictedConnection(t *testing.T) {
+	h := newHarness(0, 400)
+	all := h.startAll(t, "a")
+	for _, c := range all[1:] {
+		if !c.Begin() {
+			t.Fatal("a message of an idle connection must not run")
+		}
+	}
+	if err := h.open("new", "b").Start(); err != nil || len(h.closed) != 1 {
+		t.Fatalf("Start gives %v and closes %v, want the idle connection", err, h.closed)
+	}
+	if all[0].Begin() {
+		t.Error("a message runs whose connection was closed for another one")
+	}
+	all[0].SetState(Idle)
+	if all[0].Begin() {
+		t.Error("a connection that was closed for another one becomes idle again")
+	}
+}
--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -84,6 +84,8 @@
 	Busy
 	// InTransaction: waits for a message with an open transaction.
 	InTransaction
+	// evicted: is closed for another connection.
+	evicted
 )
 
 // Conn is a connection of a peer. A nil Conn has no limits. Its methods, other than SetState
@@ -152,6 +154,9 @@
 	var victims []*Conn
 	if len(p.started) >= p.maxStarted {
 		v := p.idlest()
+		for v != nil && !v.evictIdle() {
+			v = p.idlest()
+		}
 		if v == nil {
 			b.mu.Unlock()
 			b.Refused(ConnectionsFull)
@@ -200,6 +205,7 @@
 		return
 	}
 	c.gone = true
+	c.state.Store(int32(evicted))
 	p := &b.pools[c.kind]
 	if c.startedFlag {
 		delete(p.started, c)
@@ -250,13 +256,35 @@
 	}
 }
 
+// evictIdle marks an idle connection as closed for another one. It returns false if it is not idle
+// any more.
+func (c *Conn) evictIdle() bool { return c.state.CompareAndSwap(int32(Idle), int32(evicted)) }
+
+// Begin notes that a message was read and is run now. It returns false if the connection is being
+// closed for another one: the message must not be run then, since its answer could not be sent.
+func (c *Conn) Begin() bool {
+	return c == nil || c.change(Busy)
+}
+
+// change sets the state unless the connection is being closed for another one.
+func (c *Conn) change(to State) bool {
+	for {
+		s := c.state.Load()
+		if State(s) == evicted {
+			return false
+		}
+		if c.state.CompareAndSwap(s, int32(to)) {
+			return true
+		}
+	}
+}
+
 // SetState notes what the connection does.
 func (c *Conn) SetState(s State) {
 	if c == nil {
 		return
 	}
-	c.state.Store(int32(s))
-	if s != Busy {
+	if c.change(s) && s != Busy {
 		c.since.Store(c.b.order.Add(1))
 	}
 }
--- a/internal/budget/memory.go
+++ b/internal/budget/memory.go
@@ -278,7 +278,7 @@
 	var victims []*Conn
 	if growth > 0 && pt.used+growth > pt.limit {
 		v := pt.largestIdle()
-		if v == nil || v.held[SessionState] <= c.held[SessionState]+growth {
+		if v == nil || v.held[SessionState] <= c.held[SessionState]+growth || !v.evictIdle() {
 			b.mu.Unlock()
 			b.Refused(StateFull)
 			return old, ErrFull
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -120,6 +120,9 @@
 		defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
 	}
 	m, err := c.be.Receive()
+	if err == nil && first && !c.budget.Begin() {
+		return nil, receiveError(budget.ErrEvicted)
+	}
 	if err == nil {
 		return m, nil
 	}
