Links that are opened to a lender while it leaves end with the same word

Cause: a link that a borrower opens between the end of the others and the exit was closed without a status, so its first call counted as one that may have run.

What changed: such a link is closed with status 1001.

--- a/internal/lending/leave.go
+++ b/internal/lending/leave.go
@@ -12,7 +12,10 @@
 
 // statusLeaving is the status with which a lender that stops closes a link. It means that the
 // lender has answered each request that it has run, and runs none of the others.
-const statusLeaving = websocket.StatusGoingAway
+const (
+	statusLeaving = websocket.StatusGoingAway
+	reasonLeaving = "the host is stopping"
+)
 
 // Leave closes all links, so that borrowers know which of their calls have not run. It returns once
 // they are closed, or when the time has passed. A link on which a call still runs then is left
@@ -94,7 +97,7 @@
 	defer t.Stop()
 	select {
 	case <-b.idle:
-		_ = b.ws.Close(statusLeaving, "the host is stopping")
+		_ = b.ws.Close(statusLeaving, reasonLeaving)
 	case <-t.C:
 	}
 }
--- a/internal/lending/leave_test.go
+++ b/internal/lending/leave_test.go
@@ -34,6 +34,9 @@
 	if err := <-results["late"]; !errors.Is(err, engine.ErrLenderUnavailable) || engine.Sent(err) {
 		t.Errorf("a call that the lender has not run: %v, want an error that says so", err)
 	}
+	if _, _, err := p.run(0, time.Minute, engine.SessionState{}, engine.Op{Kind: engine.OpBegin, Text: "new"}); !errors.Is(err, engine.ErrLenderUnavailable) || engine.Sent(err) {
+		t.Errorf("a call over a link that is opened then: %v, want an error that says that it has not run", err)
+	}
 	if len(p.kinds) != 1 {
 		t.Errorf("the endpoint received %d requests, want 1", len(p.kinds))
 	}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -115,6 +115,7 @@
 	}
 	defer b.abortLoans()
 	if !l.addLink(b) {
+		_ = ws.Close(statusLeaving, reasonLeaving)
 		return
 	}
 	defer l.removeLink(b)
