--- a/cmd/cumintrestle-soak/main.go
+++ b/cmd/cumintrestle-soak/main.go
@@ -18,6 +18,7 @@
 	binary, plot := "target/cumintrestle-entry", ""
 	var first, runs uint64 = 0, 1
 	length, hosts, callers, logs, plan := 12*time.Second, 5, 24, "", ""
+	plain, single := false, false
 	flaggy.SetName("cumintrestle-soak")
 	flaggy.SetDescription("Runs entry hosts under faults and checks what callers and endpoints see.")
 	flaggy.String(&binary, "b", "binary", "program of the entry host")
@@ -28,7 +29,9 @@
 	flaggy.Int(&callers, "c", "callers", "callers at a time")
 	flaggy.String(&logs, "l", "logs", "folder that keeps the hosts' logs")
 	flaggy.String(&plot, "p", "plot", "PNG file: service over time and the faults of the last run")
-	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, accounts, or restarts")
+	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, accounts, restarts, or calm")
+	flaggy.Bool(&plain, "T", "plain", "send printable, short texts only")
+	flaggy.Bool(&single, "A", "single", "endpoints send each answer once")
 	flaggy.Parse()
 
 	if first == 0 {
@@ -39,6 +42,7 @@
 	for seed := first; seed < first+runs; seed++ {
 		report, err := soak.Run(context.Background(), soak.Options{
 			Binary: binary, Seed: seed, Length: length, Hosts: hosts, Callers: callers, LogDir: logs, Plan: plan,
+			PlainTexts: plain, SingleAnswers: single,
 			Note: func(line string) { fmt.Fprintln(os.Stderr, line) },
 		})
 		if err == nil && plot != "" {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -65,7 +65,7 @@
 // newItem replaces an item after a write with an unknown outcome: that write may
 // still take effect after later ones, so the item's order could not be checked.
 func (c *caller) newItem(i int) {
-	it := &item{name: fmt.Sprintf("i%d.%d.%d", c.number, i, c.r.Uint32())}
+	it := &item{name: fmt.Sprintf("i%d.%d.%d", c.number, i, c.r.Uint32()) + c.l.texts.name(c.r)}
 	if i == len(c.items) {
 		c.items = append(c.items, it)
 	}
@@ -129,7 +129,7 @@
 	case c.database == "moving":
 		return c.readMoving()
 	case n == 0:
-		name, v := fmt.Sprint("v", c.r.IntN(3)), fmt.Sprint(c.session, ".", c.r.IntN(9))
+		name, v := fmt.Sprint("v", c.r.IntN(3), c.l.texts.only("\r")), fmt.Sprint(c.session, ".", c.r.IntN(9), c.l.texts.last(c.r))
 		a, err := c.query(&sentStatement{text: "SET " + name + " " + v})
 		if err == nil && a.Done() {
 			c.values[name] = v
@@ -177,7 +177,10 @@
 	if c.r.IntN(3) > 0 {
 		return s, true
 	}
-	name, shape := fmt.Sprint("p", c.r.IntN(2)), verb+" q1"
+	name, shape := fmt.Sprint("p", c.r.IntN(2), c.l.texts.only("\n")), verb+" q1"+c.l.texts.last(c.r)
+	if known := c.prepared[name]; strings.HasPrefix(known, verb) {
+		shape = known
+	}
 	if c.prepared[name] != shape {
 		if transaction != "" {
 			return s, true
@@ -207,7 +210,7 @@
 func (c *caller) write(i int, transaction string) bool {
 	it := c.items[i]
 	it.n++
-	s, ok := c.newStatement("WRITE", it.name+" "+itemValue(it.name, it.n), transaction)
+	s, ok := c.newStatement("WRITE", it.name+" "+c.l.texts.itemValue(it.name, it.n), transaction)
 	if !ok {
 		c.l.recordWrite(c.group, it.name, it.n, c.session, history.NotRun)
 		return false
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -14,6 +14,9 @@
 // account far above its limit, and faults of the host that grants limits. They check under which
 // account each statement ran, that revoked keys are refused, and the operations of each account.
 //
+// Callers send texts of any bytes, some of them long, and endpoints send one answer in a hundred a
+// second time, at once or later, unless Options says otherwise.
+//
 // # Usage
 //
 //	report, err := soak.Run(ctx, soak.Options{Binary: "target/cumintrestle-entry", Seed: 1, Length: 12 * time.Second})
--- a/internal/soak/gaps.go
+++ b/internal/soak/gaps.go
@@ -66,7 +66,7 @@
 			continue
 		}
 		for _, a := range writes {
-			v := itemValue(item, a.n)
+			v := l.texts.itemValue(item, a.n)
 			out = append(out, termAck{v, a.at, g.CommitTerm(v)})
 		}
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -62,12 +63,15 @@
 	knownVersions map[string]int
 	violations    []Violation
 	seconds       []secondCounts
+	codes         map[string]int
 	lastID        int
+	// texts makes the texts of callers.
+	texts texts
 }
 
 func newLedger() *ledger {
 	return &ledger{
-		began: time.Now(), sent: make(map[string]*sentStatement), acks: make(map[string][]ackedWrite), knownVersions: make(map[string]int),
+		began: time.Now(), sent: make(map[string]*sentStatement), acks: make(map[string][]ackedWrite), knownVersions: make(map[string]int), codes: make(map[string]int),
 	}
 }
 
@@ -82,7 +86,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
-	id := fmt.Sprintf("q%d", l.lastID)
+	id := fmt.Sprintf("q%d", l.lastID) + l.texts.name(rand.New(rand.NewPCG(uint64(l.lastID), 0)))
 	s.at = time.Now()
 	l.sent[id] = s
 	return id
@@ -101,6 +105,7 @@
 	switch {
 	case err != nil:
 		c.Broken++
+		l.codes["none"]++
 		return
 	case a.Done():
 		c.Done++
@@ -109,13 +114,14 @@
 	default:
 		c.Unknown++
 	}
+	l.codes[a.Code]++
 	s.answer, s.answered = a, true
 }
 
 // recordWrite records the outcome of a write of value number n of an item, as its
 // caller knows it.
 func (l *ledger) recordWrite(group int, item string, n int, session string, o history.Outcome) {
-	l.history.AddWrite(history.Write{ID: itemValue(item, n), Outcome: o})
+	l.history.AddWrite(history.Write{ID: l.texts.itemValue(item, n), Outcome: o})
 	if o != history.Acked {
 		return
 	}
@@ -126,8 +132,6 @@
 
 func itemKey(group int, item string) string { return strconv.Itoa(group) + "/" + item }
 
-func itemValue(item string, n int) string { return item + ":" + strconv.Itoa(n) }
-
 // requiredValue returns the lowest number that a read of an item may return if it
 // begins now. Reads from the primary must return the newest acknowledged write,
 // session reads also that of their own session, and all reads each write that was
@@ -150,9 +154,10 @@
 func (l *ledger) checkRead(id, item, row string, required int) {
 	n := 0
 	if row != "none" {
-		name, number, _ := strings.Cut(row, ":")
+		_, number, _ := strings.Cut(row, ":")
+		number, _, _ = strings.Cut(number, ":")
 		n, _ = strconv.Atoi(number)
-		if name != item {
+		if row != l.texts.itemValue(item, n) {
 			l.addViolation("mixed", id, "a read of %s gives %q", item, row)
 			return
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,8 +35,11 @@
 	// Note receives messages about the soak itself; it may be nil.
 	Note func(line string)
 	// Plan names the plan that is derived from the seed: PlanMixed, PlanSwitches, PlanPrimaries,
-	// PlanAccounts or PlanRestarts.
+	// PlanAccounts, PlanRestarts or PlanCalm.
 	Plan string
+	// PlainTexts makes callers send printable texts without long ones, SingleAnswers makes endpoints
+	// send each answer once.
+	PlainTexts, SingleAnswers bool
 	// Faults replaces the plan derived from the seed.
 	Faults []Fault
 }
@@ -52,12 +55,14 @@
 	PlanAccounts = "accounts"
 	// PlanRestarts is RestartPlan. Endpoints take time for statements.
 	PlanRestarts = "restarts"
+	// PlanCalm has no faults.
+	PlanCalm = "calm"
 )
 
 // plans has the plans by name.
 var plans = map[string]func(seed uint64, length time.Duration, hosts int) []Fault{
 	PlanMixed: Plan, PlanSwitches: SwitchPlan, PlanPrimaries: PrimaryPlan, PlanAccounts: AccountPlan,
-	PlanRestarts: RestartPlan,
+	PlanRestarts: RestartPlan, PlanCalm: func(uint64, time.Duration, int) []Fault { return []Fault{} },
 }
 
 // Report is the result of a run.
@@ -77,6 +82,9 @@
 	Faults     []Fault        `json:"faults"`
 	Seconds    []secondCounts `json:"seconds"`
 	Violations []Violation    `json:"violations"`
+	// Codes counts the answers by their code, "" for success, and the statements without an answer
+	// as "none".
+	Codes map[string]int `json:"codes"`
 }
 
 func (o Options) note(line string) {
@@ -108,6 +116,7 @@
 		plan = derive(opt.Seed, opt.Length, opt.Hosts)
 	}
 	l := newLedger()
+	l.texts.plain = opt.PlainTexts
 	w.runLoad(ctx, l, plan)
 	report := Report{Seed: opt.Seed, Hosts: opt.Hosts, Callers: opt.Callers, Connections: w.connLimit, Faults: plan}
 	began := time.Now()
@@ -126,7 +135,7 @@
 	runs, logs, tokens := w.collect()
 	report.Accounts = l.checkAccounts(w.accounts, runs)
 	report.Violations = l.check(runs, logs, tokens)
-	report.Statements, report.Seconds = len(l.sent), l.seconds
+	report.Statements, report.Seconds, report.Codes = len(l.sent), l.seconds, l.codes
 	report.Promotions = len(w.store.Tokens())
 	return report, nil
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,6 +31,7 @@
 // validRun returns a run without violations.
 func validRun() *recordedRun {
 	l := newLedger()
+	l.texts.plain = true
 	s := &sentStatement{text: "WRITE a a:1", values: map[string]string{"v": "1"}, transaction: "t"}
 	l.sent["q1"] = s
 	l.recordAnswer(s, standin.Answer{Digest: "orders0-0.1.1"}, nil)
--- a/internal/soak/switches_test.go
+++ b/internal/soak/switches_test.go
@@ -42,6 +42,7 @@
 	g.CommitWait = 2 * time.Second
 	g.Databases[3].Leave()
 	l := newLedger()
+	l.texts.plain = true
 	ack := func(n int, value string, d *standin.Database) {
 		if a := writeOnce(t, d, value); !a.Done() {
 			t.Fatalf("write %s: %+v", value, a)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -108,6 +108,9 @@
 		if opt.Plan != PlanMixed {
 			g.PromoteAfter, g.CommitWait = promoteTimes[opt.Seed%2], statementTimeout
 		}
+		if !opt.SingleAnswers {
+			g.AnswerAgain = answerAgain
+		}
 		if opt.Plan == PlanRestarts {
 			g.Work = workTime(opt.Seed)
 		}
