Match the answers of endpoints with their requests

What callers saw: with endpoints that answer twice, rows of other requests, statuses and refusals taken for the answers of later requests (MIXED), reads of an older state (stale), MALFORMED, and answers in doubt.

Cause: answers were matched by their order alone. One second answer shifted every later answer of its pooled connection, for all sessions that it served after. Class: an identity that is assumed from the position in a stream.

Ruled out: closing each connection after a refusal (a new one occupies a slot for 12 ms); links between hosts, which number their messages. Open: an answer that is cut off inside of a row and goes on with its copy.

--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -21,6 +21,9 @@
 // It was not committed then, whatever its answer says.
 var errStrayTransaction = errors.New("statement outside of a transaction left one open")
 
+// ErrOutOfStep reports that the answers of a connection cannot be matched with its requests.
+var ErrOutOfStep = errors.New("endpoint connection is out of step")
+
 // OpKind is the kind of a request to an endpoint.
 type OpKind uint8
 
@@ -71,6 +74,8 @@
 	// connection is closed; the answers that arrived are returned with the
 	// error.
 	Do func(deadline time.Time, ops ...Op) ([]Outcome, error)
+	// InStep reports whether another session may use the connection. It may be nil.
+	InStep func() bool
 	// Close closes the connection immediately.
 	Close func()
 	// RoundTrip is the network round trip to the endpoint, 0 if unknown.
@@ -92,8 +97,11 @@
 }
 
 // reusable reports whether another session may use the connection: the endpoint has
-// answered everything that it was sent, and no transaction was open in its last answer.
-func (c *Conn) reusable() bool { return !c.broken && c.state == Idle }
+// answered everything that it was sent, the connection is in step, and no transaction was
+// open in its last answer.
+func (c *Conn) reusable() bool {
+	return !c.broken && c.state == Idle && (c.InStep == nil || c.InStep())
+}
 
 // setupOps returns the requests that give the connection the session's values
 // and prepare the given statement on it.
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -178,6 +178,10 @@
 		}
 		e.emit(Event{Group: g.Name, Endpoint: id, Decision: "no_connection", Reason: err.Error()})
 		return
+	case errors.Is(err, ErrOutOfStep):
+		// Only this connection is affected.
+		e.emit(Event{Group: g.Name, Endpoint: id, Decision: "out_of_step", Reason: err.Error()})
+		return
 	case !errors.Is(err, os.ErrDeadlineExceeded) || g.Unresponsive(e.BootTime(), id):
 		p.closeIdle()
 	}
