A large answer or request does not end a link between hosts

An answer with more than 131,072 rows, or with more than 3 MiB, which a direct connection delivers, ended the link that it was sent over, and with it all calls and transactions of others on it (INDOUBT). So did a session with more than 131,072 values. Causes: the decoder's default maxima of array elements and map pairs, and one limit of 3 MiB for both directions.

A response has up to 20 MiB now (rows of 16 MiB, and the rest), a request still 3 MiB, which a session's state of 1 MiB with as many values as fit and a text of 1 MiB fit into. What is larger fails alone: a request is not sent, a response is replaced by one that says that the call may have run, and its transaction is rolled back. Responses of more than 64 KiB wait up to 1 s for memory and fail alone without, in place of closing other links for it.

TestAnswerWithoutMemory guards the budget of other links.

Not changed: other responses on the link wait until a large one is sent.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -287,7 +287,7 @@
 		close(l.ready)
 		return
 	}
-	ws.SetReadLimit(maxMessage)
+	ws.SetReadLimit(maxResponse)
 	l.ws = ws
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	close(l.ready)
@@ -379,7 +379,14 @@
 	l.pending[q.Seq] = ch
 	l.watch()
 	l.mu.Unlock()
-	if err := l.send(q); err != nil {
+	err := l.send(q)
+	if errors.Is(err, errRequestTooLarge) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.pending, q.Seq)
+		return response{}, engine.NotSent(err)
+	}
+	if err != nil {
 		// The lender cannot have run a request that it did not receive completely.
 		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err))
 	}
@@ -423,11 +430,15 @@
 	}
 }
 
-// send writes a request to the link and closes the link if that fails.
+// send writes a request to the link and closes the link if that fails. Nothing is written of a
+// request that is too large.
 func (l *link) send(q request) error {
 	body, err := encodeRequest(q, l.b.Accounts)
+	if err == nil && len(body) > maxRequest {
+		return errRequestTooLarge
+	}
 	if err == nil {
-		err = l.ws.Write(l.ctx, websocket.MessageBinary, body)
+		err = writeMessage(l.ctx, l.ws, body)
 	}
 	if err != nil {
 		l.cancel()
--- a/internal/lending/codec.go
+++ b/internal/lending/codec.go
@@ -1,17 +1,41 @@
 package lending
 
 import (
+	"context"
 	"errors"
 	"fmt"
 
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 )
 
-var errMalformed = errors.New("malformed message")
+const (
+	// maxRequest is the maximum size of a request, in bytes: a statement of 1 MiB, the values and
+	// the prepared statement of its session with 1 MiB, and what each text takes beside.
+	maxRequest = 3 << 20
+	// maxResponse is the maximum size of a response, in bytes. Endpoints' answers have up to 16 MiB
+	// of rows.
+	maxResponse = 20 << 20
+	// maxValues is the maximum number of session values in a request.
+	maxValues = 1 << 20
+	// maxFrame is the maximum size of a frame, in bytes. Pings and pongs pass between the frames of
+	// a large message.
+	maxFrame = 64 << 10
+)
+
+var (
+	errMalformed        = errors.New("malformed message")
+	errRequestTooLarge  = fmt.Errorf("request of more than %d bytes", maxRequest)
+	errResponseTooLarge = fmt.Errorf("response of more than %d bytes", maxResponse)
+)
 
 // Texts are encoded as CBOR text strings, and pass with any bytes: those of callers and endpoints
 // need not be UTF-8. Hosts of earlier releases can read messages in which all of them are.
-var linkMode = decMode(cbor.DecOptions{})
+var (
+	requestMode = decMode(cbor.DecOptions{MaxMapPairs: maxValues})
+	// Each row takes a byte of the response at least.
+	responseMode = decMode(cbor.DecOptions{MaxArrayElements: maxResponse})
+)
 
 func decMode(o cbor.DecOptions) cbor.DecMode {
 	o.UTF8, o.ByteStringToString = cbor.UTF8DecodeInvalid, cbor.ByteStringToStringAllowed
@@ -24,8 +48,8 @@
 
 func encode(v any) ([]byte, error) { return cbor.Marshal(v) }
 
-func decode(body []byte, v any) error {
-	if err := linkMode.Unmarshal(body, v); err != nil {
+func decode(m cbor.DecMode, body []byte, v any) error {
+	if err := m.Unmarshal(body, v); err != nil {
 		return fmt.Errorf("%w: %w", errMalformed, err)
 	}
 	return nil
@@ -50,7 +74,7 @@
 // decodeRequest decodes and validates a request.
 func decodeRequest(body []byte) (request, error) {
 	var q request
-	if err := decode(body, &q); err != nil {
+	if err := decode(requestMode, body, &q); err != nil {
 		return q, err
 	}
 	return q, q.check()
@@ -60,7 +84,7 @@
 // accounts.
 func decodeAccountRequest(body []byte) (request, error) {
 	var a accountRequest
-	if err := decode(body, &a); err != nil {
+	if err := decode(requestMode, body, &a); err != nil {
 		return a.Request, err
 	}
 	if err := a.check(); err != nil {
@@ -74,7 +98,7 @@
 // decodeResponse decodes and validates a response.
 func decodeResponse(body []byte) (response, error) {
 	var a response
-	if err := decode(body, &a); err != nil {
+	if err := decode(responseMode, body, &a); err != nil {
 		return a, err
 	}
 	return a, a.check()
@@ -84,9 +108,28 @@
 // accounts.
 func decodeAccountResponse(body []byte) (response, error) {
 	var a accountResponse
-	if err := decode(body, &a); err != nil {
+	if err := decode(responseMode, body, &a); err != nil {
 		return a.Response, err
 	}
 	a.Response.Limits = a.Limits
 	return a.Response, a.Response.check()
 }
+
+// writeMessage sends a message over a link.
+func writeMessage(ctx context.Context, ws *websocket.Conn, body []byte) error {
+	if len(body) <= maxFrame {
+		return ws.Write(ctx, websocket.MessageBinary, body)
+	}
+	w, err := ws.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for len(body) > 0 {
+		n, err := w.Write(body[:min(len(body), maxFrame)])
+		if err != nil {
+			return err
+		}
+		body = body[n:]
+	}
+	return w.Close()
+}
--- a/internal/lending/codec_test.go
+++ b/internal/lending/codec_test.go
@@ -1,8 +1,10 @@
 package lending
 
 import (
+	"errors"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +75,46 @@
 		t.Errorf("%q gives %+v, %v", text, out, err)
 	}
 }
+
+// TestLargeMessages guards against a link that ends, with all calls on it, at a large answer, or at
+// a request with a large session.
+func TestLargeMessages(t *testing.T) {
+	p := newPair(t)
+	_, handle, err := p.run(0, 5*time.Second, engine.SessionState{}, engine.Op{Kind: engine.OpBegin})
+	if err != nil || handle == 0 {
+		t.Fatalf("BEGIN gives handle %d, %v", handle, err)
+	}
+	const mib = 1 << 20
+	for _, tt := range []struct {
+		rows, size int
+		want       error
+	}{{mib, 3, nil}, {5 * mib, 0, nil}, {16, mib, nil}, {25, mib, errMaybeRun}} {
+		p.rows = slices.Repeat([]string{strings.Repeat("x", tt.size)}, tt.rows)
+		out, _, err := p.run(0, 30*time.Second, engine.SessionState{}, engine.Op{Text: "READ 7"})
+		if !errors.Is(err, tt.want) || tt.want == nil && (err != nil || !slices.Equal(out[0].Rows, p.rows)) {
+			t.Errorf("%d rows of %d bytes give %d outcomes, %v, want %v", tt.rows, tt.size, len(out), err, tt.want)
+		}
+	}
+	p.rows = nil
+	values := make(map[string]string)
+	for size := 0; size+3 <= mib; size += 3 {
+		n := len(values)
+		values[string([]byte{byte(n >> 16), byte(n >> 8), byte(n)})] = ""
+	}
+	now := time.Now()
+	q := wireRequest("g", "m", 0, engine.Call{QueueDeadline: now, Deadline: now, SessionState: engine.SessionState{Values: values}, Ops: []engine.Op{{Text: strings.Repeat("x", mib)}}})
+	body, err := encodeRequest(q, true)
+	if err != nil || len(body) > maxRequest {
+		t.Fatalf("the request takes %d bytes, %v", len(body), err)
+	}
+	if got, err := decodeAccountRequest(body); err != nil || len(got.Values) != len(values) {
+		t.Errorf("the request is decoded with %d values, %v", len(got.Values), err)
+	}
+	_, _, err = p.run(0, 5*time.Second, engine.SessionState{}, engine.Op{Text: strings.Repeat("x", 4*mib)})
+	if !errors.Is(err, errRequestTooLarge) || engine.Sent(err) {
+		t.Errorf("a request that is too large gives %v", err)
+	}
+	if _, _, err := p.run(handle, 5*time.Second, engine.SessionState{}, engine.Op{Text: "READ 7"}); err != nil {
+		t.Errorf("the transaction on the same link gives %v", err)
+	}
+}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -20,10 +20,6 @@
 	"github.com/cumintrestle/cumintrestle/internal/ratelimit"
 )
 
-// maxMessage is the maximum size of a message between hosts, in bytes. A statement
-// can take up to 1 MiB of it.
-const maxMessage = 3 << 20
-
 // Lender lends this host's connections to other hosts. It is the http.Handler of the
 // path at which borrowers open their WebSocket links.
 type Lender struct {
@@ -107,7 +103,7 @@
 		return
 	}
 	defer ws.CloseNow()
-	ws.SetReadLimit(maxMessage)
+	ws.SetReadLimit(maxRequest)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	b := &borrowerLink{
@@ -181,13 +177,28 @@
 	defer b.lender.calls.Add(-1)
 	a := b.run(q)
 	a.Seq = q.Seq
+	if b.respond(a) != nil {
+		b.ws.CloseNow()
+	}
+}
+
+// respond sends a response. One that is too large, or for which there is no memory, fails alone:
+// its transaction is rolled back.
+func (b *borrowerLink) respond(a response) error {
 	body, err := encodeResponse(a, b.lender.Accounts)
 	if err == nil {
 		err = b.send(body)
 	}
-	if err != nil {
-		b.ws.CloseNow()
+	if !errors.Is(err, errResponseTooLarge) && !errors.Is(err, budget.ErrFull) {
+		return err
+	}
+	if a.Handle != 0 {
+		b.abortLoan(a.Handle)
+	}
+	if body, err = encodeResponse(response{Seq: a.Seq, Failure: failMaybeSent}, b.lender.Accounts); err != nil {
+		return err
 	}
+	return b.send(body)
 }
 
 // run runs a request and returns the response. The connection stays lent after the
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -161,6 +161,8 @@
 
 	mu    sync.Mutex
 	kinds []engine.OpKind
+	// rows, if set, are the rows of each answer, in place of the text.
+	rows []string
 }
 
 func newPair(t *testing.T) *lendingPair {
@@ -179,6 +181,9 @@
 					return nil, nil
 				}
 				o := engine.Outcome{Rows: []string{ops[0].Text}, Digest: "d"}
+				if p.rows != nil {
+					o.Rows = p.rows
+				}
 				p.mu.Lock()
 				defer p.mu.Unlock()
 				p.kinds = append(p.kinds, ops[0].Kind)
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -8,8 +8,6 @@
 	"io"
 	"time"
 
-	"github.com/coder/websocket"
-
 	"github.com/cumintrestle/cumintrestle/internal/budget"
 )
 
@@ -22,6 +20,9 @@
 	callCost = 4 << 10
 	// freeMessage is the size up to which a message is part of callCost, in bytes.
 	freeMessage = 2 << 10
+	// maxRoomWait is how long a large response waits for memory, and roomInterval the time between
+	// two attempts to get it.
+	maxRoomWait, roomInterval = time.Second, 5 * time.Millisecond
 	// DefaultTimeout is the default of Lender.Timeout: the longest request of the contract.
 	DefaultTimeout = 10 * time.Second
 )
@@ -46,7 +47,7 @@
 	})
 	defer t.Stop()
 	defer b.budget.EndMessage()
-	for _, limit := range []int{freeMessage, budget.SmallMessage, maxMessage} {
+	for _, limit := range []int{freeMessage, budget.SmallMessage, maxRequest} {
 		if err := b.chargeMessage(&m, limit); err != nil {
 			return nil, charge{}, err
 		}
@@ -59,13 +60,13 @@
 			return nil, charge{}, fmt.Errorf("receive: %w", err)
 		}
 	}
-	// The message has maxMessage bytes, or too many of them.
+	// The message has maxRequest bytes, or too many of them.
 	_, err = r.Read(make([]byte, 1))
 	if errors.Is(err, io.EOF) {
 		return m.body.Bytes(), b.shrink(m), nil
 	}
 	b.release(m.charge)
-	return nil, charge{}, fmt.Errorf("receive: message of more than %d bytes", maxMessage)
+	return nil, charge{}, fmt.Errorf("receive: message of more than %d bytes", maxRequest)
 }
 
 // message is a message that is received.
@@ -173,15 +174,40 @@
 	}
 }
 
+// chargeResponse charges a response of n bytes. A small one always has room, for which links that
+// are not read from are closed. A large one waits for room instead, and fails without.
+func (b *borrowerLink) chargeResponse(n int) error {
+	switch {
+	case n > maxResponse:
+		return errResponseTooLarge
+	case n <= budget.SmallMessage:
+		b.budget.BeginAnswer(budget.LinkAnswers, n)
+		return nil
+	}
+	for end := time.Now().Add(maxRoomWait); ; time.Sleep(roomInterval) {
+		err := b.budget.Acquire(budget.LinkAnswers, n, nil)
+		if err == nil {
+			b.budget.BeginSend()
+			return nil
+		}
+		if !errors.Is(err, budget.ErrFull) || time.Now().After(end) {
+			b.lender.Budget.Refused(budget.MemoryFull)
+			return fmt.Errorf("response of %d bytes: %w", n, err)
+		}
+	}
+}
+
 // send sends a response, and charges a large one until it is sent.
 func (b *borrowerLink) send(body []byte) error {
 	ctx, cancel := context.WithTimeout(b.ctx, b.lender.timeout())
 	defer cancel()
 	if n := len(body); n > freeMessage {
-		b.budget.BeginAnswer(budget.LinkAnswers, n)
+		if err := b.chargeResponse(n); err != nil {
+			return err
+		}
 		defer b.budget.EndAnswer(budget.LinkAnswers, n)
 	}
-	err := b.ws.Write(ctx, websocket.MessageBinary, body)
+	err := writeMessage(ctx, b.ws, body)
 	if errors.Is(err, context.DeadlineExceeded) {
 		b.lender.Budget.Refused(budget.AnswerTimeout)
 	}
--- a/internal/lending/receive_test.go
+++ b/internal/lending/receive_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/engine"
@@ -13,6 +14,35 @@
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
 
+// TestAnswerWithoutMemory guards against a large answer that closes links of others, or its own, for
+// its memory.
+func TestAnswerWithoutMemory(t *testing.T) {
+	p := newPair(t)
+	b := budget.New(budget.LineShares, 1, 0)
+	p.lender.Budget = b
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = httplimit.Server(p.lender, httplimit.Limits{})
+	server.Listener = httplimit.Listen(server.Listener, budget.Hosts, b)
+	server.Start()
+	t.Cleanup(server.CloseClientConnections)
+	p.server = server
+	_, handle, err := p.run(0, 5*time.Second, engine.SessionState{}, engine.Op{Kind: engine.OpBegin})
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := b.Open(budget.Hosts, "other", func() { t.Error("the link of another host is closed") })
+	other.BeginAnswer(budget.LinkAnswers, 1000)
+	p.rows = []string{strings.Repeat("x", 1<<20)}
+	if _, _, err := p.run(0, 5*time.Second, engine.SessionState{}, engine.Op{Text: "READ 7"}); !errors.Is(err, errMaybeRun) {
+		t.Errorf("an answer without memory gives %v, want %v", err, errMaybeRun)
+	}
+	other.EndAnswer(budget.LinkAnswers, 1000)
+	p.rows = []string{strings.Repeat("x", 1<<19)}
+	if _, _, err := p.run(handle, 5*time.Second, engine.SessionState{}, engine.Op{Text: "READ 7"}); err != nil {
+		t.Errorf("the transaction on the same link gives %v", err)
+	}
+}
+
 // TestCallsWithoutMemory guards against calls that are queued without limit, and against
 // transactions that can't be ended because of them.
 func TestCallsWithoutMemory(t *testing.T) {
