--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -42,6 +42,9 @@
 // InStep reports whether another session may use the connection.
 func (s *Stream) InStep() bool { return !s.unfit }
 
+// State returns the transaction state of the connection.
+func (s *Stream) State() engine.TxState { return s.state }
+
 // Do sends requests and returns their answers in order. After an error the connection must be closed;
 // the answers that are known are returned with the error. An error marked by engine.NotSent means
 // that no request was sent.
