Soak: long plain texts and statements that take time, with any plan

To reproduce answers in doubt in a calm run: -L sends values of up to 900 kB beside short ones (with -T), -W lets endpoints work at statements as in the plan of restarts.

--- a/cmd/cumintrestle-soak/main.go
+++ b/cmd/cumintrestle-soak/main.go
@@ -18,7 +18,7 @@
 	binary, plot := "target/cumintrestle-entry", ""
 	var first, runs uint64 = 0, 1
 	length, hosts, callers, logs, plan := 12*time.Second, 5, 24, "", ""
-	plain, single := false, false
+	plain, single, long, work := false, false, false, false
 	flaggy.SetName("cumintrestle-soak")
 	flaggy.SetDescription("Runs entry hosts under faults and checks what callers and endpoints see.")
 	flaggy.String(&binary, "b", "binary", "program of the entry host")
@@ -32,6 +32,8 @@
 	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, accounts, restarts, or calm")
 	flaggy.Bool(&plain, "T", "plain", "send printable, short texts only")
 	flaggy.Bool(&single, "A", "single", "endpoints send each answer once")
+	flaggy.Bool(&long, "L", "long", "with -T, send many long texts")
+	flaggy.Bool(&work, "W", "work", "statements take time at endpoints with any plan")
 	flaggy.Parse()
 
 	if first == 0 {
@@ -42,7 +44,7 @@
 	for seed := first; seed < first+runs; seed++ {
 		report, err := soak.Run(context.Background(), soak.Options{
 			Binary: binary, Seed: seed, Length: length, Hosts: hosts, Callers: callers, LogDir: logs, Plan: plan,
-			PlainTexts: plain, SingleAnswers: single,
+			PlainTexts: plain, SingleAnswers: single, LongTexts: long, Work: work,
 			Note: func(line string) { fmt.Fprintln(os.Stderr, line) },
 		})
 		if err == nil && plot != "" {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,6 +40,10 @@
 	// PlainTexts makes callers send printable texts without long ones, SingleAnswers makes endpoints
 	// send each answer once.
 	PlainTexts, SingleAnswers bool
+	// LongTexts makes callers send many values of up to maxLongPlainText bytes where texts are plain.
+	LongTexts bool
+	// Work makes statements take time at endpoints, as PlanRestarts does.
+	Work bool
 	// Faults replaces the plan derived from the seed.
 	Faults []Fault
 }
@@ -116,7 +120,7 @@
 		plan = derive(opt.Seed, opt.Length, opt.Hosts)
 	}
 	l := newLedger()
-	l.texts.plain = opt.PlainTexts
+	l.texts.plain, l.texts.long = opt.PlainTexts, opt.LongTexts
 	w.runLoad(ctx, l, plan)
 	report := Report{Seed: opt.Seed, Hosts: opt.Hosts, Callers: opt.Callers, Connections: w.connLimit, Faults: plan}
 	began := time.Now()
--- a/internal/soak/texts.go
+++ b/internal/soak/texts.go
@@ -18,14 +18,17 @@
 const (
 	// longTexts: one value in this many is long, up to maxLongText bytes.
 	longTexts, maxLongText = 150, 200 << 10
+	// longPlainTexts and maxLongPlainText are the same if long texts are asked for.
+	longPlainTexts, maxLongPlainText = 12, 900 << 10
 	// secondAnswers: one answer of an endpoint in this many is sent a second time.
 	secondAnswers = 100
 	// maxAnswerDelay is how much later a second answer comes at most.
 	maxAnswerDelay = 40 * time.Millisecond
 )
 
-// texts makes the texts that callers send. If plain is set, they are printable and short.
-type texts struct{ plain bool }
+// texts makes the texts that callers send. If plain is set, they are printable and, unless long is
+// set, too, short.
+type texts struct{ plain, long bool }
 
 // last returns a text for the end of a message. Half of all texts are empty.
 func (t texts) last(r *rand.Rand) string {
@@ -57,12 +60,18 @@
 // itemValue returns value number n of an item. It follows from both.
 func (t texts) itemValue(item string, n int) string {
 	value := item + ":" + strconv.Itoa(n)
-	if t.plain {
+	if t.plain && !t.long {
 		return value
 	}
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(value))
 	r := rand.New(rand.NewPCG(h.Sum64(), 0))
+	if t.plain {
+		if r.IntN(longPlainTexts) == 0 {
+			value += ":" + strings.Repeat("l", r.IntN(maxLongPlainText))
+		}
+		return value
+	}
 	long := ""
 	if r.IntN(longTexts) == 0 {
 		long = strings.Repeat("l", r.IntN(maxLongText))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -111,7 +111,7 @@
 		if !opt.SingleAnswers {
 			g.AnswerAgain = answerAgain
 		}
-		if opt.Plan == PlanRestarts {
+		if opt.Plan == PlanRestarts || opt.Work {
 			g.Work = workTime(opt.Seed)
 		}
 		for _, d := range g.Databases[membersPerGroup:] {
