Borrowed calls that still wait at their lender can be withdrawn

What callers saw: a write that a stopping host still had under way at its exit was answered as in doubt although it only waited in a queue, for a connection that another host lends.

Cause: on the borrowing side a call counts as sent once it is on the link. Giving it up (at the exit, at the deadline) could say no better than "may have run", and a lender that exited left the calls that still waited in its queues to a broken link.

Changed: a borrower withdraws a call at its deadline, or when its statement is given up. The lender marks it under the lock that a call takes right before its first request is sent, so that either the call is answered as not sent and never is, or its answer comes as usual. A lender that leaves answers the calls that still wait, and their borrowers ask the next host. GiveUp waits up to 100 ms for the statement's own outcome. Nothing is sent for other calls: a withdrawal is one small message, and only when a call is given up.

Lender.InUse sums the requests of the links; the second count of the same is gone.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -47,7 +47,10 @@
 	// Begin, if set, is called before the first request is sent. The call is not sent if it
 	// returns false.
 	Begin func() bool
-	Ops   []Op
+	// Withdrawn, if set, is closed when the caller does not wait for the call any more. A lending
+	// host then says whether it has sent the call, and does not send it from then on.
+	Withdrawn <-chan struct{}
+	Ops       []Op
 }
 
 // Freshness is the staleness bound of a read, measured when its call arrives, and
--- a/internal/engine/giveup.go
+++ b/internal/engine/giveup.go
@@ -6,10 +6,16 @@
 	"time"
 )
 
+// withdrawTime is how long GiveUp waits for a lending host to say whether a commit was sent.
+const withdrawTime = 100 * time.Millisecond
+
 // errGivenUp reports that a statement was answered by GiveUp before anything of it that commits
 // was sent.
 var errGivenUp = errors.New("the statement was given up")
 
+// ErrWithdrawn reports that the borrower has withdrawn a call before its lending host had sent it.
+var ErrWithdrawn = errGivenUp
+
 // StopBy bounds the time limit of each statement that is begun from now on, because the host exits
 // then.
 func (e *Engine) StopBy(t time.Time) { e.stopBy.Store(&t) }
@@ -33,6 +39,15 @@
 	// have been sent.
 	committing bool
 	givenUp    bool
+	// withdrawn, if set, is closed when the statement is given up, and ended receives its outcome
+	// from then on.
+	withdrawn chan struct{}
+	ended     chan Outcome
+}
+
+// newProgress returns the progress of a session's statements.
+func newProgress() progress {
+	return progress{withdrawn: make(chan struct{}), ended: make(chan Outcome, 1)}
 }
 
 func (p *progress) begin(state TxState, k Kind) {
@@ -57,14 +72,47 @@
 	p.committing = false
 }
 
-// GiveUp returns the final outcome of the statement that runs: in doubt if a commit of writes may
-// have been sent, and otherwise that nothing is kept, because it is not sent from now on. The
-// session must not run another statement. GiveUp may be called by any goroutine.
+// end notes the outcome of the statement for GiveUp.
+func (p *progress) end(o Outcome) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.givenUp {
+		return
+	}
+	select {
+	case p.ended <- o:
+	default:
+	}
+}
+
+// giveUp withdraws the statement, and reports whether a commit of writes may have been sent.
+func (p *progress) giveUp() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.givenUp && p.withdrawn != nil {
+		close(p.withdrawn)
+	}
+	p.givenUp = true
+	return p.committing
+}
+
+// GiveUp returns the final outcome of the statement that runs, which the host does not wait for any
+// more. It is in doubt if a commit of writes may have been sent, and otherwise says that nothing is
+// kept, because it is not sent from now on. A lending host is asked whether it has sent the commit.
+// The session must not run another statement. GiveUp may be called by any goroutine, once.
 func (s *CallerSession) GiveUp(reason string) Outcome {
 	p := &s.progress
+	if p.giveUp() && p.ended != nil {
+		t := time.NewTimer(withdrawTime)
+		defer t.Stop()
+		select {
+		case o := <-p.ended:
+			return o
+		case <-t.C:
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.givenUp = true
 	o := Outcome{Code: Busy, Reason: reason}
 	switch {
 	case p.committing:
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -148,7 +148,7 @@
 	op := q.op(a.minPosition)
 	call := a.call(s.sessionState(q), op)
 	if q.writes {
-		call.Ops[0].Commits, call.Begin = true, s.progress.beginCommit
+		call.Ops[0].Commits, call.Begin, call.Withdrawn = true, s.progress.beginCommit, s.progress.withdrawn
 	}
 	out, err := s.e.perform(a.g, a.member, c, call)
 	if err != nil && !Sent(err) || err == nil && out[0].Code.notRun() {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -77,7 +77,7 @@
 	if d == nil {
 		return nil, Outcome{Code: Busy, Reason: "no configuration yet"}
 	}
-	s := &CallerSession{e: e, database: database}
+	s := &CallerSession{e: e, database: database, progress: newProgress()}
 	if d.Accounts != nil {
 		s.key = DigestKey(key)
 	}
@@ -119,6 +119,7 @@
 	s.progress.begin(s.state, st.Kind)
 	o := s.run(st)
 	o.State = s.state
+	s.progress.end(o)
 	return o
 }
 
--- a/internal/engine/transaction.go
+++ b/internal/engine/transaction.go
@@ -199,7 +199,7 @@
 	for pause := retryPause; ; pause = min(2*pause, maxRetryPause) {
 		call := a.call(state, op)
 		if op.Commits {
-			call.Begin = s.progress.beginCommit
+			call.Begin, call.Withdrawn = s.progress.beginCommit, s.progress.withdrawn
 		}
 		out, err := s.e.perform(tx.g, tx.member, tx.conn, call)
 		if err != nil {
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -116,7 +116,7 @@
 		now := b.BootTime()
 		q.SendByMS, q.SentMS = max(millis(c.SendBy.Sub(now)), 1), millis(time.Duration(now))
 	}
-	a, err := l.call(c.Deadline, q)
+	a, err := l.call(c.Deadline, c.Withdrawn, q)
 	l.setLoan(handle, a.Handle)
 	if err != nil {
 		return engine.RemoteResult{}, err
@@ -142,7 +142,7 @@
 		return replicaset.Knowledge{}, fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err)
 	}
 	wait := max(millis(time.Until(until)), 1)
-	a, err := l.call(until, request{Verb: verbQueryGroup, Group: g, MaxWaitMS: wait, TimeoutMS: wait})
+	a, err := l.call(until, nil, request{Verb: verbQueryGroup, Group: g, MaxWaitMS: wait, TimeoutMS: wait})
 	if err != nil {
 		return replicaset.Knowledge{}, err
 	}
@@ -172,6 +172,8 @@
 		return engine.NotSent(engine.ErrNoConnection)
 	case failSendByPassed:
 		return engine.NotSent(engine.ErrSendByPassed)
+	case failWithdrawn:
+		return engine.NotSent(engine.ErrWithdrawn)
 	case failNotSent:
 		return engine.NotSent(errNotRun)
 	}
@@ -365,56 +367,6 @@
 	l.pending = nil
 }
 
-// call sends a request and waits for its response. If the deadline and
-// responseMargin pass without one, it returns errTimeout.
-func (l *link) call(deadline time.Time, q request) (response, error) {
-	ch := make(chan response, 1)
-	l.mu.Lock()
-	if l.pending == nil {
-		l.mu.Unlock()
-		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, errLinkBroken))
-	}
-	l.lastSeq++
-	q.Seq, l.lastUsed = l.lastSeq, time.Now()
-	l.pending[q.Seq] = ch
-	l.watch()
-	l.mu.Unlock()
-	if err := l.send(q); err != nil {
-		// The lender cannot have run a request that it did not receive completely.
-		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err))
-	}
-	t := time.NewTimer(time.Until(deadline) + responseMargin)
-	defer t.Stop()
-	select {
-	case a, ok := <-ch:
-		if !ok {
-			return response{}, l.endError()
-		}
-		return a, nil
-	case <-t.C:
-		l.abandon(q, ch)
-		return response{}, errTimeout
-	}
-}
-
-// abandon stops waiting for a call that has timed out. If the call left or may leave
-// a transaction open at the lender, the transaction is ended here or, if its handle
-// is not known yet, when readLoop receives the late response.
-func (l *link) abandon(q request, ch <-chan response) {
-	l.mu.Lock()
-	delete(l.pending, q.Seq)
-	l.mu.Unlock()
-	handle := q.Handle
-	select {
-	case a := <-ch:
-		handle = max(handle, a.Handle)
-	default:
-	}
-	if handle != 0 {
-		l.release(handle)
-	}
-}
-
 // release ends a transaction at the lender. If the message cannot be sent, the link
 // is closed, which ends all transactions opened over it.
 func (l *link) release(handle uint64) {
--- a/internal/lending/leave.go
+++ b/internal/lending/leave.go
@@ -64,28 +64,8 @@
 	delete(l.links, b)
 }
 
-// beginRequest notes that a request is run. It returns false if the link is being closed: the
-// request must not be run then.
-func (b *borrowerLink) beginRequest() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.leaving {
-		return false
-	}
-	b.running++
-	return true
-}
-
-func (b *borrowerLink) endRequest() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.running--
-	if b.running == 0 && b.leaving {
-		close(b.idle)
-	}
-}
-
-// leave closes the link after the requests that run have been answered.
+// leave closes the link after the requests that run have been answered. Calls that wait for a
+// connection are not run any more.
 func (b *borrowerLink) leave(until time.Time) {
 	b.mu.Lock()
 	b.leaving, b.idle = true, make(chan struct{})
@@ -93,6 +73,7 @@
 		close(b.idle)
 	}
 	b.mu.Unlock()
+	b.withdrawAll()
 	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
 	select {
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -48,8 +48,8 @@
 	handles  atomic.Uint64
 	initOnce sync.Once
 
-	// calls is the number of calls that run, transactions that of open transactions.
-	calls, transactions atomic.Int64
+	// transactions is the number of open transactions.
+	transactions atomic.Int64
 
 	mu    sync.Mutex
 	links map[*borrowerLink]struct{}
@@ -60,7 +60,12 @@
 // InUse returns the number of borrowers' calls that run on this host's connections, and of their
 // transactions that are open.
 func (l *Lender) InUse() (calls, transactions int) {
-	return int(l.calls.Load()), int(l.transactions.Load())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for b := range l.links {
+		calls += b.inUse()
+	}
+	return calls, int(l.transactions.Load())
 }
 
 // nextHandle returns a handle that no other transaction has had, on any link. A borrower
@@ -93,9 +98,11 @@
 	// loans holds the loans with an open transaction, by handle.
 	loans  map[uint64]*loan
 	closed bool
-	// running counts the requests that are run. None is begun once leaving is set, and idle, if
-	// set, is closed when the last one has been answered.
+	// running counts the requests that are run, without those that were withdrawn; calls holds the
+	// calls among them, by sequence number. None is begun once leaving is set, and idle, if set, is
+	// closed when the last one has been answered.
 	running int
+	calls   map[uint64]*borrowerRequest
 	leaving bool
 	idle    chan struct{}
 }
@@ -112,6 +119,7 @@
 	defer cancel()
 	b := &borrowerLink{
 		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, l.linkCalls()), loans: make(map[uint64]*loan),
+		calls: make(map[uint64]*borrowerRequest),
 	}
 	defer b.abortLoans()
 	if !l.addLink(b) {
@@ -129,6 +137,11 @@
 			l.Engine.ReportMalformed("borrower", err)
 			return
 		}
+		if q.withdraws() {
+			b.release(c)
+			b.withdraw(q.Seq, failWithdrawn)
+			continue
+		}
 		b.setSendBy(&q)
 		b.dispatch(q, c)
 	}
@@ -175,12 +188,17 @@
 	return ln
 }
 
-// serve runs a request and sends the response.
-func (b *borrowerLink) serve(q request) {
-	b.lender.calls.Add(1)
-	defer b.lender.calls.Add(-1)
-	a := b.run(q)
-	a.Seq = q.Seq
+// serve runs a request and sends the response, unless the request has been withdrawn meanwhile.
+func (b *borrowerLink) serve(r *borrowerRequest) {
+	a := b.run(r)
+	if b.keep(r) {
+		b.respond(r.Seq, a)
+	}
+}
+
+// respond sends the response to a request. If that fails, the link is closed.
+func (b *borrowerLink) respond(seq uint64, a response) {
+	a.Seq = seq
 	body, err := encodeResponse(a, b.lender.Accounts)
 	if err == nil {
 		err = b.send(body)
@@ -192,12 +210,13 @@
 
 // run runs a request and returns the response. The connection stays lent after the
 // call only if a transaction is open on it.
-func (b *borrowerLink) run(q request) response {
+func (b *borrowerLink) run(r *borrowerRequest) response {
+	q := r.request
 	if q.Verb == verbRequestTokens {
 		return b.lender.grant(q)
 	}
 	call := q.call()
-	call.SendBy = q.sendBy
+	call.SendBy, call.Begin = q.sendBy, func() bool { return b.keep(r) }
 	if q.Verb == verbQueryGroup {
 		return response{Knowledge: wireKnowledge(b.lender.Engine.Knowledge(q.Group, call.QueueDeadline))}
 	}
--- a/internal/lending/limits.go
+++ b/internal/lending/limits.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return ratelimit.Response{}, fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err)
 	}
-	a, err := l.call(deadline, request{Verb: verbRequestTokens, Limits: wireLimitsRequest(r)})
+	a, err := l.call(deadline, nil, request{Verb: verbRequestTokens, Limits: wireLimitsRequest(r)})
 	if err != nil {
 		return ratelimit.Response{}, err
 	}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -32,7 +32,9 @@
 	// connection.
 	verbRun verb = iota
 	// verbRelease ends a transaction that a call left open, by rollback. It has no
-	// response.
+	// response. Without a handle, it withdraws the call with its Seq: if nothing of that call has
+	// been sent to the endpoint, the lender answers it with failWithdrawn and does not send it any
+	// more. Earlier versions ignore that.
 	verbRelease
 	// verbQueryGroup requests the lender's knowledge of a group.
 	verbQueryGroup
@@ -73,6 +75,8 @@
 	// failSendByPassed means that the time to send the call had passed before its turn
 	// came.
 	failSendByPassed
+	// failWithdrawn means that the borrower withdrew the call before it was sent.
+	failWithdrawn
 )
 
 // request is a message from a borrower to a lender.
@@ -223,6 +227,9 @@
 	LagMS            int64
 }
 
+// withdraws reports whether the request withdraws a call.
+func (q request) withdraws() bool { return q.Verb == verbRelease && q.Handle == 0 }
+
 func encode(v any) ([]byte, error) { return cbor.Marshal(v) }
 
 var errMalformed = errors.New("malformed message")
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -124,7 +124,8 @@
 			return
 		}
 	}
-	if !b.beginRequest() {
+	r := b.beginRequest(q)
+	if r == nil {
 		b.release(c)
 		b.budget.Release(budget.SmallLinks, cost)
 		return
@@ -133,7 +134,7 @@
 	b.noteState()
 	b.start(func() {
 		defer func() {
-			b.endRequest()
+			b.endRequest(r)
 			<-b.tasks
 			b.noteState()
 			b.release(c)
@@ -143,7 +144,7 @@
 			b.abortLoan(q.Handle)
 			return
 		}
-		b.serve(q)
+		b.serve(r)
 	})
 }
 
