--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -38,8 +39,11 @@
 	errLinkBroken = errors.New("link to the lending host is broken")
 	errTimeout    = errors.New("timeout waiting for the lending host")
 	// errNotRun and errMaybeRun are what a lender says of a call that failed at the endpoint.
-	errNotRun     = errors.New("the lending host could not send the call")
-	errMaybeRun   = errors.New("the lending host lost the endpoint while the call ran")
+	errNotRun   = errors.New("the lending host could not send the call")
+	errMaybeRun = errors.New("the lending host lost the endpoint while the call ran")
+	// errSlow wraps os.ErrDeadlineExceeded, as an answer that the endpoint itself gives too late.
+	errSlow       = fmt.Errorf("%w: the endpoint has not answered the lending host", os.ErrDeadlineExceeded)
+	errSilent     = errors.New("the lending host is silent")
 	errNotLending = errors.New("the lending host is not lending connections")
 	// errNotGranting reports that the host that was asked for tokens does not grant any.
 	errNotGranting = errors.New("the host does not grant tokens")
@@ -95,6 +99,8 @@
 	// unused is set if the link is closed because nobody uses it, left if the lender has closed it
 	// after it had answered all calls that it has run.
 	unused, left bool
+	// ended is why the link has ended, nil until then.
+	ended error
 	// watched is set while keepalive waits for pingInterval, because of a call.
 	watched bool
 	// called receives a value if a call is sent while the link is not watched.
@@ -176,6 +182,8 @@
 		return engine.NotSent(engine.ErrWithdrawn)
 	case failNotSent:
 		return engine.NotSent(errNotRun)
+	case failTimedOut:
+		return errSlow
 	}
 	return errMaybeRun
 }
@@ -338,6 +346,7 @@
 		}
 		a, err := l.b.decode(body)
 		if err != nil {
+			l.noteEnd(err)
 			l.b.reportMalformed(err)
 			return
 		}
@@ -382,6 +391,7 @@
 		err = l.ws.Write(l.ctx, websocket.MessageBinary, body)
 	}
 	if err != nil {
+		l.noteEnd(err)
 		l.cancel()
 		return fmt.Errorf("%w: %w", errLinkBroken, err)
 	}
--- a/internal/lending/keepalive.go
+++ b/internal/lending/keepalive.go
@@ -59,6 +59,7 @@
 			return
 		}
 		if action == pingLink && !l.ping() {
+			l.noteEnd(errSilent)
 			l.cancel()
 			return
 		}
--- a/internal/lending/leave.go
+++ b/internal/lending/leave.go
@@ -83,11 +83,15 @@
 	}
 }
 
-// noteEnd notes whether the lender has said that the pending calls have not run.
+// noteEnd notes why the link has ended, and whether the lender has said that the pending calls have
+// not run. The first reason is kept.
 func (l *link) noteEnd(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.left = websocket.CloseStatus(err) == statusLeaving
+	l.left = l.left || websocket.CloseStatus(err) == statusLeaving
+	if l.ended == nil {
+		l.ended = err
+	}
 }
 
 // endError returns the error of a call that was pending when the link ended.
@@ -97,5 +101,5 @@
 	if l.left {
 		return engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, errNotLending))
 	}
-	return errLinkBroken
+	return fmt.Errorf("%w: %s: %v", errLinkBroken, l.address, l.ended)
 }
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -302,6 +303,8 @@
 		return response{Failure: failFull}
 	case !engine.Sent(err):
 		return response{Failure: failNotSent}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return response{Failure: failTimedOut}
 	}
 	return response{Failure: failMaybeSent}
 }
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -77,6 +77,9 @@
 	failSendByPassed
 	// failWithdrawn means that the borrower withdrew the call before it was sent.
 	failWithdrawn
+	// failTimedOut means that the time limit of the call passed after the endpoint may have
+	// received an operation.
+	failTimedOut
 )
 
 // request is a message from a borrower to a lender.
