Lender that is busy with a large message gives signs of life

Cause: while a lender waits for memory for a large message, or until it may run another call, it reads nothing from the link, pings included. After 800 ms the borrower took the link for broken, and all calls on it for calls that may have run.

Changed: a lender that is busy with a message sends a ping every 200 ms. The borrower takes any bytes that arrive for a sign of life. Its own ping may be stuck behind a large message, so that the wait for it no longer closes the connection. A frozen lender is found as late as before: it sends nothing.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -88,6 +89,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// heard is when bytes from the lender have arrived last, in ns since the Unix epoch.
+	heard atomic.Int64
+
 	mu sync.Mutex
 	// pending holds the calls without a response, by sequence number. It is nil once
 	// the link has broken.
@@ -286,7 +290,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), linkSetupTimeout)
 	defer cancel()
 	ws, resp, err := websocket.Dial(ctx, "ws://"+l.address+LinkPath(l.b.Accounts), &websocket.DialOptions{
-		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.b.DialContext}},
+		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.dial}},
 	})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -308,6 +312,14 @@
 	l.readLoop()
 }
 
+func (l *link) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := l.b.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return heardConn{nc, &l.heard}, nil
+}
+
 func (b *Borrower) reportMalformed(err error) {
 	if b.OnMalformed != nil {
 		b.OnMalformed("lender", err)
--- a/internal/lending/keepalive.go
+++ b/internal/lending/keepalive.go
@@ -2,13 +2,37 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"time"
+
+	"github.com/cumintrestle/cumintrestle/internal/guard"
 )
 
 // linkWantedTime is how long after Preconnect a link counts as wanted. Preconnect is called a few
 // times a second while it is.
 const linkWantedTime = 10 * time.Second
 
+// beatInterval is how often a lender that is busy with a message sends a sign of life, since it reads
+// no pings meanwhile.
+const beatInterval = pingTimeout / 4
+
+// heardConn notes when bytes have arrived.
+type heardConn struct {
+	net.Conn
+	// at is in ns since the Unix epoch.
+	at *atomic.Int64
+}
+
+// Read reads from the connection.
+func (c heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.at.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // linkAction is what keepalive does with a link.
 type linkAction uint8
 
@@ -89,10 +113,46 @@
 	return closeLink, 0
 }
 
+// ping reports whether the lender gives a sign of life in time. It may be busy with a message, and
+// read the ping only after that.
 func (l *link) ping() bool {
-	ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
+	began, answered := time.Now(), make(chan struct{})
+	go guard.Run("ping of a lender", l.b.OnPanic, func() {
+		if l.ws.Ping(l.ctx) == nil {
+			close(answered)
+		}
+	})
+	t := time.NewTimer(pingTimeout)
+	defer t.Stop()
+	select {
+	case <-answered:
+		return true
+	case <-l.ctx.Done():
+		return false
+	case <-t.C:
+		return l.heard.Load() >= began.UnixNano()
+	}
+}
+
+// setBusy notes whether the lender is busy with a message, while it reads nothing else.
+func (b *borrowerLink) setBusy(busy bool) {
+	b.busy.Store(busy)
+	if busy {
+		b.beat.Reset(beatInterval)
+	} else {
+		b.beat.Stop()
+	}
+}
+
+// sendBeat sends a sign of life to the borrower, and the next one after beatInterval.
+func (b *borrowerLink) sendBeat() {
+	if !b.busy.Load() {
+		return
+	}
+	b.beat.Reset(beatInterval)
+	ctx, cancel := context.WithTimeout(b.ctx, b.lender.timeout())
 	defer cancel()
-	return l.ws.Ping(ctx) == nil
+	_ = b.ws.Ping(ctx)
 }
 
 func (b *Borrower) idleTimeout() time.Duration {
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -92,6 +92,10 @@
 	budget *budget.Conn
 	// tasks has a place for each task of the link that may run at the same time.
 	tasks chan struct{}
+	// busy is set from the arrival of a message until the next one is read, beat sends signs of life
+	// meanwhile.
+	busy atomic.Bool
+	beat *time.Timer
 	// transit is used by the goroutine that reads the link.
 	transit transit
 
@@ -122,6 +126,8 @@
 		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, l.linkCalls()), loans: make(map[uint64]*loan),
 		calls: make(map[uint64]*borrowerRequest),
 	}
+	b.beat = time.AfterFunc(beatInterval, b.sendBeat)
+	defer b.setBusy(false)
 	defer b.abortLoans()
 	if !l.addLink(b) {
 		_ = ws.Close(statusLeaving, reasonLeaving)
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -35,7 +35,9 @@
 // receive reads the next message and charges it. A small message is read at once; for a
 // larger one, receive waits for memory and meanwhile reads nothing from the link.
 func (b *borrowerLink) receive() ([]byte, charge, error) {
+	b.setBusy(false)
 	_, r, err := b.ws.Reader(b.ctx)
+	b.setBusy(true)
 	if err != nil {
 		return nil, charge{}, fmt.Errorf("receive: %w", err)
 	}
