Soak: no write in doubt beside planned restarts alone, and sessions closed between statements

Statements without an answer were counted with sessions that the host had closed before the statement was sent, in no transaction, which is no failure. These count as "closed" now.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -148,6 +148,10 @@
 // unless the caller timed out, or the end came within unreadCutWindow and no endpoint
 // ran the request.
 func (c *caller) query(s *sentStatement) (standin.Answer, error) {
+	if s.transaction == "" && c.conn.Ended() {
+		c.l.countClosed()
+		return standin.Answer{}, standin.ErrIncompleteAnswer
+	}
 	if s.transaction == "" {
 		c.began = time.Now()
 	}
@@ -163,6 +167,9 @@
 	if err != nil && onlyPlannedFaults(c.plan, from, to) && to-from < answerTimeout && (to-from > unreadCutWindow || c.w.requestRan(id)) {
 		c.l.addViolation("request_cut", id, "%s ended after %s without an answer: %v", s.text, to-from, err)
 	}
+	if err == nil && a.InDoubt() && c.w.provesOutcome() && to-from < c.w.statementTimeout()-limitMargin {
+		c.l.addViolation("in_doubt", id, "%.40s is in doubt after %s", s.text, to-from)
+	}
 	if err == nil && a.Done() && strings.HasPrefix(s.text, "READ") && len(a.Rows) != 1 {
 		c.l.addViolation("mixed", id, "a read has %d rows", len(a.Rows))
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -118,6 +118,13 @@
 	s.answer, s.answered = a, true
 }
 
+// countClosed counts a session that the host has closed between two statements.
+func (l *ledger) countClosed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.codes["closed"]++
+}
+
 // recordWrite records the outcome of a write of value number n of an item, as its
 // caller knows it.
 func (l *ledger) recordWrite(group int, item string, n int, session string, o history.Outcome) {
--- a/internal/soak/restarts.go
+++ b/internal/soak/restarts.go
@@ -17,6 +17,9 @@
 	// restartStatementTimeout is configured for all databases with every second seed of this plan:
 	// statements may still wait when the grace period of a host ends.
 	restartStatementTimeout = 2500 * time.Millisecond
+	// limitMargin is how long before its time limit a statement may end because of it: hosts keep
+	// 20 ms for the answer to the caller, and as much for that to a borrowing host.
+	limitMargin = 50 * time.Millisecond
 )
 
 // RestartPlan derives the faults of a run from its seed: series of rolling restarts that overlap,
@@ -64,3 +67,9 @@
 	}
 	return statementTimeout
 }
+
+// provesOutcome reports whether hosts have to know of each write whether it is kept, unless its time
+// limit passes while the endpoint works: there are no faults, or planned restarts only.
+func (w *world) provesOutcome() bool {
+	return w.opt.Plan == PlanRestarts || w.opt.Plan == PlanCalm
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -86,8 +86,8 @@
 	Faults     []Fault        `json:"faults"`
 	Seconds    []secondCounts `json:"seconds"`
 	Violations []Violation    `json:"violations"`
-	// Codes counts the answers by their code, "" for success, and the statements without an answer
-	// as "none".
+	// Codes counts the answers by their code, "" for success, the statements without an answer as
+	// "none", and the sessions that a host closed between two statements as "closed".
 	Codes map[string]int `json:"codes"`
 }
 
