Stopping host tells callers that their open transaction was aborted

What callers saw: requests without an answer beside planned restarts alone.

A caller that has sent COMMIT and gets no answer must not repeat the transaction.

Cause: at half of the grace period the host ends the sessions that are left, those with an open transaction by closing the connection.

The same answer is given to the first statement after a transaction that was idle for too long, which was "malformed" before unless it was the COMMIT.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -34,6 +34,8 @@
 	stateSize int
 	state     TxState
 	tx        *transaction
+	// untold is set if the transaction was aborted between two statements, and no answer has said so.
+	untold bool
 	// attended is the group that the session counts as a client of.
 	attended session.Group
 	progress progress
@@ -100,9 +102,15 @@
 }
 
 // AbortIdleTransaction aborts a transaction that has been idle for too long.
-func (s *CallerSession) AbortIdleTransaction() {
-	s.e.emit(Event{Group: s.db.Group, Decision: "idle_transaction_ended", Code: Aborted})
+func (s *CallerSession) AbortIdleTransaction() { s.abort("idle_transaction_ended") }
+
+// AbortTransaction aborts the open transaction because the host ends the session.
+func (s *CallerSession) AbortTransaction() { s.abort("transaction_ended") }
+
+func (s *CallerSession) abort(decision string) {
+	s.e.emit(Event{Group: s.db.Group, Decision: decision, Code: Aborted})
 	s.failTransaction()
+	s.untold = true
 }
 
 // Close ends the session and rolls back an open transaction.
@@ -170,8 +178,10 @@
 }
 
 // afterFailure answers a statement of a failed transaction, which accepts only
-// COMMIT and ROLLBACK.
+// COMMIT and ROLLBACK. The first answer after the transaction was aborted between two statements says so.
 func (s *CallerSession) afterFailure(st Statement) Outcome {
+	untold := s.untold
+	s.untold = false
 	switch st.Kind {
 	case Rollback:
 		s.state = Idle
@@ -180,6 +190,9 @@
 		s.state = Idle
 		return Outcome{Code: Aborted, Reason: "the transaction had failed and is rolled back"}
 	}
+	if untold {
+		return Outcome{Code: Aborted, Reason: "the transaction has been ended"}
+	}
 	return Outcome{Code: Malformed, Reason: "the transaction has failed"}
 }
 
