Merge: calls that wait at a lender can be withdrawn, stopping hosts answer what they end

Joined with the codec of the links: a response is sent by one function, which closes the link only where a response cannot be sent at all; a request that is too large leaves no pending call.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -38,8 +40,11 @@
 	errLinkBroken = errors.New("link to the lending host is broken")
 	errTimeout    = errors.New("timeout waiting for the lending host")
 	// errNotRun and errMaybeRun are what a lender says of a call that failed at the endpoint.
-	errNotRun     = errors.New("the lending host could not send the call")
-	errMaybeRun   = errors.New("the lending host lost the endpoint while the call ran")
+	errNotRun   = errors.New("the lending host could not send the call")
+	errMaybeRun = errors.New("the lending host lost the endpoint while the call ran")
+	// errSlow wraps os.ErrDeadlineExceeded, as an answer that the endpoint itself gives too late.
+	errSlow       = fmt.Errorf("%w: the endpoint has not answered the lending host", os.ErrDeadlineExceeded)
+	errSilent     = errors.New("the lending host is silent")
 	errNotLending = errors.New("the lending host is not lending connections")
 	// errNotGranting reports that the host that was asked for tokens does not grant any.
 	errNotGranting = errors.New("the host does not grant tokens")
@@ -84,6 +89,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	// heard is when bytes from the lender have arrived last, in ns since the Unix epoch.
+	heard atomic.Int64
+
 	mu sync.Mutex
 	// pending holds the calls without a response, by sequence number. It is nil once
 	// the link has broken.
@@ -95,6 +103,8 @@
 	// unused is set if the link is closed because nobody uses it, left if the lender has closed it
 	// after it had answered all calls that it has run.
 	unused, left bool
+	// ended is why the link has ended, nil until then.
+	ended error
 	// watched is set while keepalive waits for pingInterval, because of a call.
 	watched bool
 	// called receives a value if a call is sent while the link is not watched.
@@ -116,7 +126,7 @@
 		now := b.BootTime()
 		q.SendByMS, q.SentMS = max(millis(c.SendBy.Sub(now)), 1), millis(time.Duration(now))
 	}
-	a, err := l.call(c.Deadline, q)
+	a, err := l.call(c.Deadline, c.Withdrawn, q)
 	l.setLoan(handle, a.Handle)
 	if err != nil {
 		return engine.RemoteResult{}, err
@@ -142,7 +152,7 @@
 		return replicaset.Knowledge{}, fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err)
 	}
 	wait := max(millis(time.Until(until)), 1)
-	a, err := l.call(until, request{Verb: verbQueryGroup, Group: g, MaxWaitMS: wait, TimeoutMS: wait})
+	a, err := l.call(until, nil, request{Verb: verbQueryGroup, Group: g, MaxWaitMS: wait, TimeoutMS: wait})
 	if err != nil {
 		return replicaset.Knowledge{}, err
 	}
@@ -172,8 +182,12 @@
 		return engine.NotSent(engine.ErrNoConnection)
 	case failSendByPassed:
 		return engine.NotSent(engine.ErrSendByPassed)
+	case failWithdrawn:
+		return engine.NotSent(engine.ErrWithdrawn)
 	case failNotSent:
 		return engine.NotSent(errNotRun)
+	case failTimedOut:
+		return errSlow
 	}
 	return errMaybeRun
 }
@@ -276,7 +290,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), linkSetupTimeout)
 	defer cancel()
 	ws, resp, err := websocket.Dial(ctx, "ws://"+l.address+LinkPath(l.b.Accounts), &websocket.DialOptions{
-		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.b.DialContext}},
+		HTTPClient: &http.Client{Transport: &http.Transport{DialContext: l.dial}},
 	})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
@@ -298,6 +312,14 @@
 	l.readLoop()
 }
 
+func (l *link) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := l.b.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return heardConn{nc, &l.heard}, nil
+}
+
 func (b *Borrower) reportMalformed(err error) {
 	if b.OnMalformed != nil {
 		b.OnMalformed("lender", err)
@@ -336,6 +358,7 @@
 		}
 		a, err := l.b.decode(body)
 		if err != nil {
+			l.noteEnd(err)
 			l.b.reportMalformed(err)
 			return
 		}
@@ -365,63 +388,6 @@
 	l.pending = nil
 }
 
-// call sends a request and waits for its response. If the deadline and
-// responseMargin pass without one, it returns errTimeout.
-func (l *link) call(deadline time.Time, q request) (response, error) {
-	ch := make(chan response, 1)
-	l.mu.Lock()
-	if l.pending == nil {
-		l.mu.Unlock()
-		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, errLinkBroken))
-	}
-	l.lastSeq++
-	q.Seq, l.lastUsed = l.lastSeq, time.Now()
-	l.pending[q.Seq] = ch
-	l.watch()
-	l.mu.Unlock()
-	err := l.send(q)
-	if errors.Is(err, errRequestTooLarge) {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.pending, q.Seq)
-		return response{}, engine.NotSent(err)
-	}
-	if err != nil {
-		// The lender cannot have run a request that it did not receive completely.
-		return response{}, engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, err))
-	}
-	t := time.NewTimer(time.Until(deadline) + responseMargin)
-	defer t.Stop()
-	select {
-	case a, ok := <-ch:
-		if !ok {
-			return response{}, l.endError()
-		}
-		return a, nil
-	case <-t.C:
-		l.abandon(q, ch)
-		return response{}, errTimeout
-	}
-}
-
-// abandon stops waiting for a call that has timed out. If the call left or may leave
-// a transaction open at the lender, the transaction is ended here or, if its handle
-// is not known yet, when readLoop receives the late response.
-func (l *link) abandon(q request, ch <-chan response) {
-	l.mu.Lock()
-	delete(l.pending, q.Seq)
-	l.mu.Unlock()
-	handle := q.Handle
-	select {
-	case a := <-ch:
-		handle = max(handle, a.Handle)
-	default:
-	}
-	if handle != 0 {
-		l.release(handle)
-	}
-}
-
 // release ends a transaction at the lender. If the message cannot be sent, the link
 // is closed, which ends all transactions opened over it.
 func (l *link) release(handle uint64) {
@@ -441,6 +407,7 @@
 		err = writeMessage(l.ctx, l.ws, body)
 	}
 	if err != nil {
+		l.noteEnd(err)
 		l.cancel()
 		return fmt.Errorf("%w: %w", errLinkBroken, err)
 	}
--- a/internal/lending/leave.go
+++ b/internal/lending/leave.go
@@ -15,6 +15,8 @@
 const (
 	statusLeaving = websocket.StatusGoingAway
 	reasonLeaving = "the host is stopping"
+	// evictTimeout is how long a link that is closed for another one waits for its last answers.
+	evictTimeout = time.Second
 )
 
 // Leave closes all links, so that borrowers know which of their calls have not run. It returns once
@@ -64,49 +66,53 @@
 	delete(l.links, b)
 }
 
-// beginRequest notes that a request is run. It returns false if the link is being closed: the
-// request must not be run then.
-func (b *borrowerLink) beginRequest() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.leaving {
-		return false
+// leave closes the link after the requests that run have been answered. Calls that wait for a
+// connection are not run any more.
+func (b *borrowerLink) leave(until time.Time) {
+	idle := b.beginLeaving()
+	b.withdrawAll()
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-idle:
+		_ = b.ws.Close(statusLeaving, reasonLeaving)
+	case <-t.C:
 	}
-	b.running++
-	return true
 }
 
-func (b *borrowerLink) endRequest() {
+// beginLeaving lets no request begin any more, and returns a channel that is closed when all others
+// have been answered.
+func (b *borrowerLink) beginLeaving() <-chan struct{} {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.running--
-	if b.running == 0 && b.leaving {
-		close(b.idle)
+	if b.leaving {
+		return b.idle
 	}
-}
-
-// leave closes the link after the requests that run have been answered.
-func (b *borrowerLink) leave(until time.Time) {
-	b.mu.Lock()
 	b.leaving, b.idle = true, make(chan struct{})
 	if b.running == 0 {
 		close(b.idle)
 	}
-	b.mu.Unlock()
-	t := time.NewTimer(time.Until(until))
-	defer t.Stop()
-	select {
-	case <-b.idle:
-		_ = b.ws.Close(statusLeaving, reasonLeaving)
-	case <-t.C:
-	}
+	return b.idle
 }
 
-// noteEnd notes whether the lender has said that the pending calls have not run.
+// evict closes the link for another connection. A request that has just arrived is answered, or its
+// borrower learns that it has not run.
+func (b *borrowerLink) evict() {
+	go guard.Run("end of an idle link", b.lender.Engine.ReportPanic, func() {
+		b.leave(time.Now().Add(evictTimeout))
+		b.ws.CloseNow()
+	})
+}
+
+// noteEnd notes why the link has ended, and whether the lender has said that the pending calls have
+// not run. The first reason is kept.
 func (l *link) noteEnd(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.left = websocket.CloseStatus(err) == statusLeaving
+	l.left = l.left || websocket.CloseStatus(err) == statusLeaving
+	if l.ended == nil {
+		l.ended = err
+	}
 }
 
 // endError returns the error of a call that was pending when the link ended.
@@ -116,5 +122,5 @@
 	if l.left {
 		return engine.NotSent(fmt.Errorf("%w: %w", engine.ErrLenderUnavailable, errNotLending))
 	}
-	return errLinkBroken
+	return fmt.Errorf("%w: %s: %v", errLinkBroken, l.address, l.ended)
 }
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,8 +45,8 @@
 	handles  atomic.Uint64
 	initOnce sync.Once
 
-	// calls is the number of calls that run, transactions that of open transactions.
-	calls, transactions atomic.Int64
+	// transactions is the number of open transactions.
+	transactions atomic.Int64
 
 	mu    sync.Mutex
 	links map[*borrowerLink]struct{}
@@ -56,7 +57,12 @@
 // InUse returns the number of borrowers' calls that run on this host's connections, and of their
 // transactions that are open.
 func (l *Lender) InUse() (calls, transactions int) {
-	return int(l.calls.Load()), int(l.transactions.Load())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for b := range l.links {
+		calls += b.inUse()
+	}
+	return calls, int(l.transactions.Load())
 }
 
 // nextHandle returns a handle that no other transaction has had, on any link. A borrower
@@ -82,6 +88,10 @@
 	budget *budget.Conn
 	// tasks has a place for each task of the link that may run at the same time.
 	tasks chan struct{}
+	// busy is set from the arrival of a message until the next one is read, beat sends signs of life
+	// meanwhile.
+	busy atomic.Bool
+	beat *time.Timer
 	// transit is used by the goroutine that reads the link.
 	transit transit
 
@@ -89,9 +99,11 @@
 	// loans holds the loans with an open transaction, by handle.
 	loans  map[uint64]*loan
 	closed bool
-	// running counts the requests that are run. None is begun once leaving is set, and idle, if
-	// set, is closed when the last one has been answered.
+	// running counts the requests that are run, without those that were withdrawn; calls holds the
+	// calls among them, by sequence number. None is begun once leaving is set, and idle, if set, is
+	// closed when the last one has been answered.
 	running int
+	calls   map[uint64]*borrowerRequest
 	leaving bool
 	idle    chan struct{}
 }
@@ -108,8 +120,12 @@
 	defer cancel()
 	b := &borrowerLink{
 		lender: l, ws: ws, ctx: ctx, budget: httplimit.Conn(r.Context()), tasks: make(chan struct{}, l.linkCalls()), loans: make(map[uint64]*loan),
+		calls: make(map[uint64]*borrowerRequest),
 	}
+	b.beat = time.AfterFunc(beatInterval, b.sendBeat)
+	defer b.setBusy(false)
 	defer b.abortLoans()
+	b.budget.OnEvict(b.evict)
 	if !l.addLink(b) {
 		_ = ws.Close(statusLeaving, reasonLeaving)
 		return
@@ -125,6 +141,11 @@
 			l.Engine.ReportMalformed("borrower", err)
 			return
 		}
+		if q.withdraws() {
+			b.release(c)
+			b.withdraw(q.Seq, failWithdrawn)
+			continue
+		}
 		b.setSendBy(&q)
 		b.dispatch(q, c)
 	}
@@ -171,20 +192,25 @@
 	return ln
 }
 
-// serve runs a request and sends the response.
-func (b *borrowerLink) serve(q request) {
-	b.lender.calls.Add(1)
-	defer b.lender.calls.Add(-1)
-	a := b.run(q)
-	a.Seq = q.Seq
-	if b.respond(a) != nil {
+// serve runs a request and sends the response, unless the request has been withdrawn meanwhile.
+func (b *borrowerLink) serve(r *borrowerRequest) {
+	a := b.run(r)
+	if b.keep(r) {
+		b.respond(r.Seq, a)
+	}
+}
+
+// respond sends the response to a request. If that fails, the link is closed.
+func (b *borrowerLink) respond(seq uint64, a response) {
+	a.Seq = seq
+	if b.sendResponse(a) != nil {
 		b.ws.CloseNow()
 	}
 }
 
-// respond sends a response. One that is too large, or for which there is no memory, fails alone:
-// its transaction is rolled back.
-func (b *borrowerLink) respond(a response) error {
+// sendResponse sends a response. One that is too large, or for which there is no memory, fails
+// alone: its transaction is rolled back.
+func (b *borrowerLink) sendResponse(a response) error {
 	body, err := encodeResponse(a, b.lender.Accounts)
 	if err == nil {
 		err = b.send(body)
@@ -203,12 +229,13 @@
 
 // run runs a request and returns the response. The connection stays lent after the
 // call only if a transaction is open on it.
-func (b *borrowerLink) run(q request) response {
+func (b *borrowerLink) run(r *borrowerRequest) response {
+	q := r.request
 	if q.Verb == verbRequestTokens {
 		return b.lender.grant(q)
 	}
 	call := q.call()
-	call.SendBy = q.sendBy
+	call.SendBy, call.Begin = q.sendBy, func() bool { return b.keep(r) }
 	if q.Verb == verbQueryGroup {
 		return response{Knowledge: wireKnowledge(b.lender.Engine.Knowledge(q.Group, call.QueueDeadline))}
 	}
@@ -294,6 +321,8 @@
 		return response{Failure: failFull}
 	case !engine.Sent(err):
 		return response{Failure: failNotSent}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return response{Failure: failTimedOut}
 	}
 	return response{Failure: failMaybeSent}
 }
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -29,7 +29,9 @@
 	// connection.
 	verbRun verb = iota
 	// verbRelease ends a transaction that a call left open, by rollback. It has no
-	// response.
+	// response. Without a handle, it withdraws the call with its Seq: if nothing of that call has
+	// been sent to the endpoint, the lender answers it with failWithdrawn and does not send it any
+	// more. Earlier versions ignore that.
 	verbRelease
 	// verbQueryGroup requests the lender's knowledge of a group.
 	verbQueryGroup
@@ -70,6 +72,11 @@
 	// failSendByPassed means that the time to send the call had passed before its turn
 	// came.
 	failSendByPassed
+	// failWithdrawn means that the borrower withdrew the call before it was sent.
+	failWithdrawn
+	// failTimedOut means that the time limit of the call passed after the endpoint may have
+	// received an operation.
+	failTimedOut
 )
 
 // request is a message from a borrower to a lender.
@@ -220,6 +227,9 @@
 	LagMS            int64
 }
 
+// withdraws reports whether the request withdraws a call.
+func (q request) withdraws() bool { return q.Verb == verbRelease && q.Handle == 0 }
+
 // check validates a request. It rejects times above maxCallTime, which could overflow when
 // added to the current time, and a call that has a staleness bound but no operation to apply
 // it to.
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -36,7 +36,9 @@
 // receive reads the next message and charges it. A small message is read at once; for a
 // larger one, receive waits for memory and meanwhile reads nothing from the link.
 func (b *borrowerLink) receive() ([]byte, charge, error) {
+	b.setBusy(false)
 	_, r, err := b.ws.Reader(b.ctx)
+	b.setBusy(true)
 	if err != nil {
 		return nil, charge{}, fmt.Errorf("receive: %w", err)
 	}
@@ -125,7 +127,8 @@
 			return
 		}
 	}
-	if !b.beginRequest() {
+	r := b.beginRequest(q)
+	if r == nil {
 		b.release(c)
 		b.budget.Release(budget.SmallLinks, cost)
 		return
@@ -134,7 +137,7 @@
 	b.noteState()
 	b.start(func() {
 		defer func() {
-			b.endRequest()
+			b.endRequest(r)
 			<-b.tasks
 			b.noteState()
 			b.release(c)
@@ -144,7 +147,7 @@
 			b.abortLoan(q.Handle)
 			return
 		}
-		b.serve(q)
+		b.serve(r)
 	})
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,6 +40,10 @@
 	// PlainTexts makes callers send printable texts without long ones, SingleAnswers makes endpoints
 	// send each answer once.
 	PlainTexts, SingleAnswers bool
+	// LongTexts makes callers send many values of up to maxLongPlainText bytes where texts are plain.
+	LongTexts bool
+	// Work makes statements take time at endpoints, as PlanRestarts does.
+	Work bool
 	// Faults replaces the plan derived from the seed.
 	Faults []Fault
 }
@@ -82,8 +86,8 @@
 	Faults     []Fault        `json:"faults"`
 	Seconds    []secondCounts `json:"seconds"`
 	Violations []Violation    `json:"violations"`
-	// Codes counts the answers by their code, "" for success, and the statements without an answer
-	// as "none".
+	// Codes counts the answers by their code, "" for success, the statements without an answer as
+	// "none", and the sessions that a host closed between two statements as "closed".
 	Codes map[string]int `json:"codes"`
 }
 
@@ -116,7 +120,7 @@
 		plan = derive(opt.Seed, opt.Length, opt.Hosts)
 	}
 	l := newLedger()
-	l.texts.plain = opt.PlainTexts
+	l.texts.plain, l.texts.long = opt.PlainTexts, opt.LongTexts
 	w.runLoad(ctx, l, plan)
 	report := Report{Seed: opt.Seed, Hosts: opt.Hosts, Callers: opt.Callers, Connections: w.connLimit, Faults: plan}
 	began := time.Now()
