Take log positions of the primary only from answers with a digest

What callers see: with endpoints that answer twice, bounded reads may lack commits that were acknowledged before, and a commit may be acknowledged while its primary is being replaced.

Cause: a success without a digest (the end of a transaction that another host rolls back over a lent connection, the start of a transaction that ends without a statement) may be a copy of an earlier one, with the log position of then. The host recorded it as the primary's position at the time of the request. A replica beyond that position counts as one that was not paused since, which extends a commit proof.

What changed: only the position of an answer with a digest is a sample.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -224,8 +224,8 @@
 	}
 	o := out[len(out)-1]
 	g.StatementEnded(now, m.ID, now.Sub(sentAt), true, o.Point)
-	if o.Code == Done {
-		// A refusal may be a copy of an earlier one, with a position of before.
+	if o.Code == Done && o.Digest != "" {
+		// Any other answer may be a copy of an earlier one, with a position of before.
 		e.recordSample(g, m, sentAt, o.Point)
 	}
 	switch o.Code {
