Tell an answer from a copy that comes among the answers to its marker

What callers see: a refused write or start of a transaction waits until its deadline and is in doubt, although the endpoint refused it at once; a start that succeeded fails.

Cause: a copy that came between the two answers to a marker stood for the answer, and the wait for the marker began anew. A copy of a start after a refusal, or of a refusal after a start, stood for the answer in the same way. After a statement that failed its transaction, the marker was awaited although it is refused there.

TestCopyAmongMarkers failed before.

What changed: an answer of the same code leaves the count of the marker's answers as it is. The start of a transaction keeps its success and its refusal, and the state in the marker's answer chooses. An answer that fails the transaction ends the wait.

--- a/internal/exchange/requests.go
+++ b/internal/exchange/requests.go
@@ -3,10 +3,11 @@
 import "github.com/cumintrestle/cumintrestle/internal/engine"
 
 // idleMarker is a marker outside of a transaction, with the states of its answers. anyMarker may also
-// stand inside of one; its answer has the state of the answer before.
+// stand inside of one, where its answer has the state of openStates.
 var (
 	idleMarker = []engine.Op{{Kind: engine.OpBeginRead}, {Kind: engine.OpRollback}}
 	idleStates = []engine.TxState{engine.InTransaction, engine.Idle}
+	openStates = []engine.TxState{engine.InTransaction}
 	anyMarker  = []engine.Op{{Kind: engine.OpPrepare, Name: "m", Body: engine.PreparedBody{Text: "m"}}}
 )
 
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -141,9 +141,9 @@
 	}
 	switch {
 	case isBegin(op.Kind):
-		return s.confirm(op, a, func(a Answer) []engine.TxState { return []engine.TxState{a.State} })
+		return s.confirmStart(op, a)
 	case isControl(op.Kind):
-		return s.confirm(op, a, func(Answer) []engine.TxState { return idleStates })
+		return s.confirm(op, a, idleStates)
 	case a.Code == engine.Done:
 		s.provisional = isPlain(a)
 		s.delivered.note(a)
@@ -165,12 +165,12 @@
 		if err := s.Send(idleMarker); err != nil {
 			return a, err
 		}
-		return s.confirm(op, a, func(Answer) []engine.TxState { return idleStates })
+		return s.confirm(op, a, idleStates)
 	case isStatement(op.Kind) && s.state == engine.InTransaction && a.State == engine.InTransaction:
 		if err := s.Send(anyMarker); err != nil {
 			return a, err
 		}
-		return s.confirm(op, a, func(Answer) []engine.TxState { return []engine.TxState{engine.InTransaction} })
+		return s.confirm(op, a, openStates)
 	case isStatement(op.Kind) && s.state == engine.Idle && a.State == engine.Idle:
 		s.doubtful = true
 	default:
@@ -195,56 +195,90 @@
 	return Answer{}, errTooMany
 }
 
-// confirm receives the answer to a marker, and returns the answer to the request before it: the
-// candidate, or another one that comes ahead of the marker's. states returns the transaction states
-// of the marker's answers after an answer to the request.
-func (s *Stream) confirm(op engine.Op, candidate Answer, states func(Answer) []engine.TxState) (Answer, error) {
+// confirm receives the answers to a marker, which have the given transaction states, and returns the
+// answer to the request before it: the candidate, or another one that comes ahead of the marker's.
+func (s *Stream) confirm(op engine.Op, candidate Answer, states []engine.TxState) (Answer, error) {
 	s.delivered.plain = true
-	want, matched, replaced := states(candidate), 0, false
+	matched := 0
 	for range maxStrays {
 		a, err := s.Receive()
 		switch {
 		case err != nil:
 			return a, err
-		case isPlain(a) && a.State == want[matched]:
+		case isPlain(a) && a.State == states[matched]:
 			s.delivered.note(a)
-			if matched++; matched == len(want) {
+			if matched++; matched == len(states) {
 				s.delivered.note(candidate)
 				s.provisional = false
 				return candidate, nil
 			}
 		case s.mayAnswer(op, a):
-			if isStatement(op.Kind) && a.Digest != "" {
+			if !s.replaces(op, candidate, a) {
+				return a, errStray(a)
+			}
+			s.discard(candidate)
+			candidate = a
+			if isStatement(op.Kind) && a.Digest != "" || a.State == engine.FailedTransaction {
 				// Answers to the marker may still come.
-				s.discard(candidate)
 				s.delivered.note(a)
 				return a, nil
 			}
-			if replaced || !s.replaces(op, candidate, a) {
-				return a, errStray(a)
+		case s.delivered.couldBeCopy(a):
+			s.discard(a)
+		default:
+			return a, errStray(a)
+		}
+	}
+	return Answer{}, errTooMany
+}
+
+// confirmStart returns the answer to the start of a transaction: its success or its refusal, whichever
+// the state in the marker's answer shows.
+func (s *Stream) confirmStart(op engine.Op, a Answer) (Answer, error) {
+	s.delivered.plain = true
+	var started, refused *Answer
+	for range maxStrays {
+		switch answer := a; {
+		case isPlain(a) && a.State == engine.InTransaction && started != nil:
+			return s.choose(*started, refused), nil
+		case isPlain(a) && a.State == engine.Idle && refused != nil:
+			return s.choose(*refused, started), nil
+		case isPlain(a) && a.State == engine.InTransaction:
+			started = &answer
+		case s.mayAnswer(op, a):
+			if refused != nil {
+				s.discard(*refused)
 			}
-			s.discard(candidate)
-			candidate, matched, replaced = a, 0, isBegin(op.Kind)
-			want = states(candidate)
+			refused = &answer
 		case s.delivered.couldBeCopy(a):
 			s.discard(a)
 		default:
 			return a, errStray(a)
 		}
+		var err error
+		if a, err = s.Receive(); err != nil {
+			return a, err
+		}
 	}
 	return Answer{}, errTooMany
 }
 
-// replaces reports whether the second of two answers that may be the one to a request is that one,
-// so that the first was a copy.
+// choose returns the right one of the answers that came to a request, and discards the other.
+func (s *Stream) choose(right Answer, other *Answer) Answer {
+	if other != nil {
+		s.discard(*other)
+	}
+	s.delivered.note(right)
+	s.provisional = false
+	return right
+}
+
+// replaces reports whether the second of two answers that may be the one to a request can stand for
+// it: it is that one, and the first was a copy, or they tell the same.
 func (s *Stream) replaces(op engine.Op, first, second Answer) bool {
-	switch {
-	case isControl(op.Kind):
+	if isControl(op.Kind) {
 		// The second one may be an older copy that was delayed longer.
 		return false
-	case isBegin(op.Kind):
-		// The marker's answer has the state of the right one.
-		return true
 	}
 	return first.Code == second.Code || !s.delivered.codes[second.Code]
 }
