Accept a status that comes twice

What operators see: with endpoints that answer twice, proofs of leadership and of commits fail, and their connections are closed, each time that the answer to a request about an endpoint comes twice at once.

Cause: two such answers ahead of the marker's were never told apart. If they are equal, whichever is the copy, the request has that answer.

Evidence: TestCopyAmongMarkers failed before in two rows.

What changed: an equal second answer (code, rows and position) is discarded. Two different ones still end with engine.ErrOutOfStep.

--- a/internal/exchange/order_test.go
+++ b/internal/exchange/order_test.go
@@ -40,10 +40,10 @@
 func TestCopyAmongMarkers(t *testing.T) {
 	const idle, open, failed = engine.Idle, engine.InTransaction, engine.FailedTransaction
 	busy, other := answerOf(engine.Busy, idle), answerOf(engine.ReadOnly, idle)
-	began, ended := answerOf(engine.Done, open), answerOf(engine.Done, idle)
+	began, ended, row := answerOf(engine.Done, open), answerOf(engine.Done, idle), answerOf(engine.Done, idle, "replica 3")
 	busyOpen, failedOpen := answerOf(engine.Busy, open), answerOf(engine.Failed, failed)
 	write, read := engine.Op{ID: "w", Text: "WRITE 1 x", Commits: true}, engine.Op{ID: "r", Text: "READ 1"}
-	begin := engine.Op{Kind: engine.OpBegin}
+	begin, status := engine.Op{Kind: engine.OpBegin}, engine.Op{Kind: engine.OpStatus}
 	tests := []struct {
 		name    string
 		op      engine.Op
@@ -58,6 +58,8 @@
 		{"copy of a refusal, then a start", begin, idle, []Answer{other}, []Answer{other, began, began}, engine.Done},
 		{"copy of a start, then a refusal", begin, idle, []Answer{began}, []Answer{began, busy, ended}, engine.Busy},
 		{"copy of a refusal, then a failed read", read, open, []Answer{busyOpen}, []Answer{busyOpen, failedOpen}, engine.Failed},
+		{"status twice", status, idle, nil, []Answer{row, row, began, ended}, engine.Done},
+		{"status with a late copy", status, idle, nil, []Answer{row, began, row, ended}, engine.Done},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/engine"
@@ -277,8 +278,8 @@
 // it: it is that one, and the first was a copy, or they tell the same.
 func (s *Stream) replaces(op engine.Op, first, second Answer) bool {
 	if isControl(op.Kind) {
-		// The second one may be an older copy that was delayed longer.
-		return false
+		// Otherwise the second one may be an older copy that was delayed longer.
+		return first.Code == second.Code && first.Point == second.Point && slices.Equal(first.Rows, second.Rows)
 	}
 	return first.Code == second.Code || !s.delivered.codes[second.Code]
 }
