Discard the late refusal of a read that counted as refused

What callers see: a write is in doubt, and requests fail, after a read on the same connection for whose answer a copy of an earlier refusal was taken, if the read itself was refused with a code that the connection had not delivered.

Cause: only a late success of such a read was expected.

What changed: any refusal outside of a transaction may be the late one until the marker is answered.

--- a/internal/exchange/order_test.go
+++ b/internal/exchange/order_test.go
@@ -74,3 +74,20 @@
 		})
 	}
 }
+
+// TestLateRefusalOfRead guards against a write in doubt because the read before it, which counted as
+// refused after a copy, was refused with another code.
+func TestLateRefusalOfRead(t *testing.T) {
+	const idle = engine.Idle
+	busy, late := answerOf(engine.Busy, idle), answerOf(engine.Behind, idle)
+	written := Answer{Outcome: engine.Outcome{Digest: "d1"}}
+	answers := []Answer{busy, late, answerOf(engine.Done, engine.InTransaction), answerOf(engine.Done, idle), written}
+	s := script(idle, []Answer{busy}, answers)
+	if out, err := s.Do(time.Time{}, engine.Op{ID: "r", Text: "READ 1"}); err != nil || out[0].Code != engine.Busy {
+		t.Fatalf("the read ends with %+v and %v", out, err)
+	}
+	out, err := s.Do(time.Time{}, engine.Op{ID: "w", Text: "WRITE 1 x", Commits: true})
+	if err != nil || out[0].Digest != "d1" {
+		t.Errorf("the write ends with %+v and %v", out, err)
+	}
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -102,8 +102,7 @@
 		if err != nil {
 			return err
 		}
-		late := s.doubtful && a.Digest != ""
-		if n == maxStrays || !late && !s.delivered.couldBeCopy(a) {
+		if n == maxStrays || !s.mayBeLate(a) && !s.delivered.couldBeCopy(a) {
 			return errStray(a)
 		}
 		s.discard(a)
@@ -125,7 +124,7 @@
 				s.doubtful, s.provisional = false, false
 				return nil
 			}
-		case a.Digest != "" || s.delivered.couldBeCopy(a):
+		case s.mayBeLate(a) || s.delivered.couldBeCopy(a):
 			s.discard(a)
 		default:
 			return errStray(a)
@@ -134,6 +133,12 @@
 	return errTooMany
 }
 
+// mayBeLate reports whether an answer may be the one to a read that counts as refused because a copy
+// came before it.
+func (s *Stream) mayBeLate(a Answer) bool {
+	return s.doubtful && !a.Greeting && a.State == engine.Idle && (a.Digest != "" || a.Code != engine.Done)
+}
+
 // answerTo returns the answer to a request that was sent.
 func (s *Stream) answerTo(op engine.Op) (Answer, error) {
 	a, err := s.await(op)
