Do not pool a connection that forgets digests

What callers see: rows of another request, on each later statement of the connection, once a copy comes more than 1,024 answers after its first. Found by review; not seen in a soak.

Cause: the digests of a connection are remembered up to a bound, and a copy may come any time later. A forgotten digest counts as new.

Evidence: TestForgottenDigests failed before: the first digest was forgotten and the connection pooled on.

What changed: a connection that remembers as many digests as it can is not pooled any more. The bound is 4,096, so that new connections stay rare. Their cost and the memory of the digests are not measured.

--- a/internal/exchange/delivered.go
+++ b/internal/exchange/delivered.go
@@ -6,8 +6,9 @@
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 )
 
-// maxDigests is how many digests of a connection are remembered.
-const maxDigests = 1024
+// maxDigests is how many digests of a connection are remembered. A connection that has delivered as
+// many serves its present user to the end.
+const maxDigests = 4096
 
 // delivered is what a connection has delivered so far.
 type delivered struct {
@@ -58,6 +59,9 @@
 	next  int
 }
 
+// full reports whether the next digest takes the place of the oldest.
+func (d *digests) full() bool { return len(d.order) == maxDigests }
+
 func (d *digests) has(digest string) bool {
 	_, ok := d.known[maphash.String(digestSeed, digest)]
 	return ok
--- a/internal/exchange/doc.go
+++ b/internal/exchange/doc.go
@@ -19,8 +19,9 @@
 // is the one to the request, and the answer that was held for it was a copy.
 //
 // Answers that are not taken are discarded, so that callers get their own answer. The connection
-// serves its present user to the end and is not pooled after that. If no answer can be told to be
-// that of the request, Do fails with engine.ErrOutOfStep: nothing is known of the request then.
+// serves its present user to the end and is not pooled after that, nor is one that has delivered as
+// many digests as are remembered. If no answer can be told to be that of the request, Do fails with
+// engine.ErrOutOfStep: nothing is known of the request then.
 //
 // Two or three answers in a row whose copies all come late, in order and in place of a whole marker
 // are not told apart.
--- a/internal/exchange/order_test.go
+++ b/internal/exchange/order_test.go
@@ -91,3 +91,21 @@
 		t.Errorf("the write ends with %+v and %v", out, err)
 	}
 }
+
+// TestForgottenDigests guards against a pooled connection that has forgotten a digest, so that a copy
+// which comes much later is taken for the answer to another request.
+func TestForgottenDigests(t *testing.T) {
+	e := newFakeEndpoint()
+	s := e.stream()
+	for n := 0; s.InStep(); n++ {
+		if n > maxDigests {
+			t.Fatalf("the connection counts as in step after %d answers", n)
+		}
+		if _, err := s.Do(time.Time{}, engine.Op{ID: "1", Text: "READ 1"}); err != nil {
+			t.Fatal(err)
+		}
+		if !s.delivered.digests.has("d1") {
+			t.Fatalf("the first digest is forgotten after %d answers", n)
+		}
+	}
+}
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -41,7 +41,7 @@
 }
 
 // InStep reports whether another session may use the connection.
-func (s *Stream) InStep() bool { return !s.unfit }
+func (s *Stream) InStep() bool { return !s.unfit && !s.delivered.digests.full() }
 
 // Do sends requests and returns their answers in order. After an error the connection must be closed;
 // the answers that are known are returned with the error. An error marked by engine.NotSent means
