Count a connection that is out of step as answered

What callers see: reads avoid an endpoint for a while after one of its connections was out of step, and its gate slows down.

Cause: noteFailure spared the endpoint, but perform had recorded the failure before.

Evidence: TestOutOfStepIsNoFailure failed before.

What changed: perform records an answer. Open: a borrowing host still counts it as a failure, because the response of a lender does not tell it apart; and so does the endpoint's gate.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -213,6 +213,9 @@
 			g.RecordOverload(now, m.ID)
 		case notAttempted(err):
 			g.StatementNotSent(now, m.ID)
+		case errors.Is(err, ErrOutOfStep):
+			// The endpoint has answered.
+			g.StatementEnded(now, m.ID, now.Sub(sentAt), true, session.Point{})
 		default:
 			g.StatementEnded(now, m.ID, now.Sub(sentAt), false, session.Point{})
 		}
--- a/internal/engine/sample_test.go
+++ b/internal/engine/sample_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -47,3 +48,33 @@
 		}
 	}
 }
+
+// TestOutOfStepIsNoFailure guards against an endpoint that is avoided because the answers of one of its
+// connections could not be matched.
+func TestOutOfStepIsNoFailure(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := newHolderEngine(&now)
+	e.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
+		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(time.Time, ...Op) ([]Outcome, error) {
+			return nil, ErrOutOfStep
+		}}, nil
+	}
+	g := e.group("g")
+	first := func() replicaset.EndpointID {
+		order, _ := g.ReadOrder(now, session.Point{}, nil)
+		return order[0].ID
+	}
+	best := first()
+	deadline := time.Now().Add(time.Second)
+	call := Call{QueueDeadline: deadline, Deadline: deadline, AnyState: true, Ops: []Op{{ID: "1", Text: "READ 1"}}}
+	loan, err := e.Lend("g", best, call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := loan.Run(call); !errors.Is(err, ErrOutOfStep) {
+		t.Fatal(err)
+	}
+	if got := first(); got != best {
+		t.Errorf("reads go to %s first after a connection to %s was out of step", got, best)
+	}
+}
