Take an endpoint whose answers are out of step for a running one

What operators see: during a promotion, a replica whose registration has lapsed counts as gone although it runs, if a request about it was out of step.

Cause: engine.Refused, which tells an endpoint that runs from one that is silent, did not know engine.ErrOutOfStep.

Evidence: TestOutOfStepIsNoSilence failed before. Not seen in a soak.

What changed: engine.Refused reports it.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -50,10 +50,10 @@
 var errNoReport = errors.New("the answer has no readable status")
 
 // Refused reports whether a control request failed although the endpoint runs: it has no
-// connection left, is too busy, or answered something unreadable.
+// connection left, is too busy, or answered something unreadable or in another order.
 func Refused(err error) bool {
 	var refused *DialError
-	return errors.As(err, &refused) && refused.Code != WrongEndpoint || errors.Is(err, errControlRefused) || errors.Is(err, errNoReport)
+	return errors.As(err, &refused) && refused.Code != WrongEndpoint || errors.Is(err, errControlRefused) || errors.Is(err, errNoReport) || errors.Is(err, ErrOutOfStep)
 }
 
 // dialMember opens a connection to an endpoint for an account, and records whether another
--- a/internal/engine/sample_test.go
+++ b/internal/engine/sample_test.go
@@ -78,3 +78,19 @@
 		t.Errorf("reads go to %s first after a connection to %s was out of step", got, best)
 	}
 }
+
+// TestOutOfStepIsNoSilence guards against a replica that counts as gone, so that a promotion does not
+// wait for it, because the answers of one of its connections could not be matched.
+func TestOutOfStepIsNoSilence(t *testing.T) {
+	now := replicaset.Instant(time.Minute)
+	e := newHolderEngine(&now)
+	e.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
+		return &Conn{Endpoint: m.ID, Close: func() {}, Do: func(time.Time, ...Op) ([]Outcome, error) {
+			return nil, ErrOutOfStep
+		}}, nil
+	}
+	m, _ := e.Group("g").Member("next")
+	if _, err := e.ControlDirect(context.Background(), m, Op{Kind: OpPause, Term: 2}); !Refused(err) {
+		t.Errorf("a control request that ends with %v counts as not answered", err)
+	}
+}
