Digests of a connection: a set that is never trimmed

A connection that has delivered as many digests as are remembered is not pooled any more, so that none has to make room. The set takes half the memory without the order of its members.

--- a/internal/exchange/delivered.go
+++ b/internal/exchange/delivered.go
@@ -8,7 +8,7 @@
 
 // maxDigests is how many digests of a connection are remembered. A connection that has delivered as
 // many serves its present user to the end.
-const maxDigests = 4096
+const maxDigests = 2048
 
 // delivered is what a connection has delivered so far.
 type delivered struct {
@@ -51,36 +51,23 @@
 
 var digestSeed = maphash.MakeSeed()
 
-// digests is the set of the last digests, by their hash.
-type digests struct {
-	known map[uint64]struct{}
-	// order is a ring of the same hashes, next the index of the oldest once it is full.
-	order []uint64
-	next  int
-}
+// digests is a set of digests, by their hash.
+type digests map[uint64]struct{}
 
-// full reports whether the next digest takes the place of the oldest.
-func (d *digests) full() bool { return len(d.order) == maxDigests }
+// full reports whether the connection has delivered as many digests as are remembered.
+func (d digests) full() bool { return len(d) >= maxDigests }
 
-func (d *digests) has(digest string) bool {
-	_, ok := d.known[maphash.String(digestSeed, digest)]
+func (d digests) has(digest string) bool {
+	_, ok := d[maphash.String(digestSeed, digest)]
 	return ok
 }
 
+// add remembers a digest. A transaction that is open when the set is full may have some more.
 func (d *digests) add(digest string) {
-	h := maphash.String(digestSeed, digest)
-	if _, ok := d.known[h]; ok {
-		return
-	}
-	if d.known == nil {
-		d.known = make(map[uint64]struct{})
+	if *d == nil {
+		*d = make(digests)
 	}
-	d.known[h] = struct{}{}
-	if len(d.order) < maxDigests {
-		d.order = append(d.order, h)
-		return
+	if len(*d) < 2*maxDigests {
+		(*d)[maphash.String(digestSeed, digest)] = struct{}{}
 	}
-	delete(d.known, d.order[d.next])
-	d.order[d.next] = h
-	d.next = (d.next + 1) % maxDigests
 }
