Operations of a host that was suspended wait for news of the store

Cause: the host had been paused for 5.1 s. When it wakes, its poll of the store has timed out, and the follower backs off for 50 to 150 ms before the next one; meanwhile callers are served by the configuration of before.

What changed: the host notices that it has not run for 2 s, by its maintenance or by the arrival of an operation, whichever comes first; polls the store anew at once, and closes its link to a relay, whose messages may be old. Operations wait until a call sent since, or a link opened since, has brought the tables up to date, but no more than 0.5 s after it woke: a host without the store goes on with what it knows. The cost for each operation is two atomic loads; it uses the reading of the clock that the statement has anyway.

Evidence: TestWokenHostAwaitsConfiguration fails without the wait ("answered with "", want NODB").

Ruled out: boot-time clock against steady clock, which shows a suspension of the machine, but not of the process; a narrower check: it would hide a host that goes on for longer.

Existing tests: the follower in TestLostStoreIsProbedByOne gets the new function field.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,9 @@
 	// for the decision until the deadline at most. The operation must be sent before
 	// sendBy. A refusal is a *LimitError.
 	Admit func(deadline time.Time, a session.Account) (sendBy replicaset.Instant, err error)
+	// CatchUp, if set, waits while the configuration may be out of date because this host was
+	// suspended. now is a time that was just read. It is called for each operation.
+	CatchUp func(now time.Time)
 	// Lenders, if set, returns the hosts to use for an account's connections to an
 	// endpoint, in order of preference; an empty address is this host. The first
 	// addresses, as many as holders, are the hosts that hold the connections and
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -23,7 +23,7 @@
 	// sent yet.
 	sendBy   replicaset.Instant
 	admitted bool
-	// arrivedAt is when the session's last statement arrived.
+	// arrivedAt is when the session was opened, or its last statement arrived.
 	arrivedAt time.Time
 	// seen is the log position in each group that the session's reads must
 	// include.
@@ -77,7 +77,7 @@
 	if d == nil {
 		return nil, Outcome{Code: Busy, Reason: "no configuration yet"}
 	}
-	s := &CallerSession{e: e, database: database}
+	s := &CallerSession{e: e, database: database, arrivedAt: e.Now()}
 	if d.Accounts != nil {
 		s.key = DigestKey(key)
 	}
@@ -185,6 +185,9 @@
 // resolve looks up the session's database and account in the configuration in force. It
 // returns a refusal if either is not declared any more.
 func (s *CallerSession) resolve() Outcome {
+	if s.e.CatchUp != nil {
+		s.e.CatchUp(s.arrivedAt)
+	}
 	d := s.e.declared.Load()
 	if d == s.resolved {
 		return Outcome{}
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -61,6 +61,9 @@
 	// OnEvent is called with a nil error when a link becomes current, and with the cause
 	// when a link could not be opened or ended.
 	OnEvent func(address string, err error)
+	// OnCurrent is called when a link becomes current, with the time at which it was opened. It may
+	// be nil.
+	OnCurrent func(opened time.Time)
 
 	// avoidedUntil holds the relays that were not current, and until when they are tried
 	// last. Only the goroutine of Run uses it.
@@ -70,6 +73,8 @@
 	current atomic.Bool
 	// lastCurrent is when the link was last current, in Unix ns, 0 if never.
 	lastCurrent atomic.Int64
+	// cancel closes the link, nil if there is none.
+	cancel atomic.Pointer[context.CancelFunc]
 }
 
 // Current reports whether another host sends this one each change of the store, or did
@@ -78,6 +83,13 @@
 	return l.current.Load() || time.Since(time.Unix(0, l.lastCurrent.Load())) < relinkGrace
 }
 
+// Reset closes the link, so that another one is opened: messages that wait to be read may be old.
+func (l *Link) Reset() {
+	if cancel := l.cancel.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // StartGrace makes the link count as current for the next relinkGrace, so that there is time
 // to open one.
 func (l *Link) StartGrace() { l.lastCurrent.Store(time.Now().UnixNano()) }
@@ -135,6 +147,9 @@
 // followRelay subscribes to one host until the link ends. It reports whether that host
 // was current at any time.
 func (l *Link) followRelay(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.cancel.Store(&cancel)
 	ws, err := l.dial(ctx, address)
 	if err != nil {
 		if errors.Is(err, errOtherProtocol) {
@@ -214,7 +229,7 @@
 		current := m.Current && l.Feed.Complete()
 		if l.setCurrent(current) && current {
 			wasCurrent = true
-			l.OnEvent(address, nil)
+			l.noteCurrent(address, began)
 		}
 		lost := m.Lost && !l.Feed.StoreLost()
 		if !current && (wasCurrent || lost || time.Since(began) >= syncTimeout) {
@@ -227,6 +242,14 @@
 	}
 }
 
+// noteCurrent reports a link that has become current.
+func (l *Link) noteCurrent(address string, opened time.Time) {
+	l.OnEvent(address, nil)
+	if l.OnCurrent != nil {
+		l.OnCurrent(opened)
+	}
+}
+
 // setCurrent records whether the link is current and reports whether that changed.
 func (l *Link) setCurrent(current bool) bool {
 	old := l.current.Swap(current)
