PostgreSQL connections of callers are proved to be in step

What callers saw: an endpoint, or a proxy before it, that answers twice shifted the pooled connection: every later statement on it, of any session, got the answer of the one before. A read got another caller's rows; answers of the wrong shape failed the statements after.

Cause: answers are matched by their order alone, and Release pooled every connection whose last ReadyForQuery was idle, read or not.

What changed: internal/endpoint/step.go alone says when a connection is in step. Each request is followed in the same packet by a marker, an empty statement whose declared parameter type is a number that no other marker of the connection has; the description of the statement returns it, inside a failed transaction as well, and nothing runs. An answer counts once its marker has come back. Unread messages between requests close the connection, except notices, parameters and notifications, at Release and at Acquire, before anything is sent. A statement whose marker fails has an unknown outcome; inside a transaction that it doesn't end, the transaction is lost with its connection.

The emulator sends a share of its answers twice, at once or late (second_answer_share and second_answer_ms of its admin interface), and returns declared parameter types.

Ruled out: a marker without a number (two late copies, of an answer and of its marker, would pass); SELECT of a nonce, which takes an execution slot and fails in a failed transaction.

Conclusion: a second answer costs the statement behind it, not the sessions after.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -57,7 +57,7 @@
 	onSuccess func()
 }
 
-// exchange sends a request on an endpoint connection and reads the response.
+// exchange sends a request and a marker on an endpoint connection and reads the response.
 // After an error the outcome is unknown and the connection cannot be reused.
 func (c *callerSession) exchange(conn *endpoint.Conn, b *batch, stream bool) (*response, error) {
 	c.setActiveConn(conn)
@@ -71,6 +71,7 @@
 		steps = c.sendMessages(conn, b)
 		conn.Frontend.SendSync(&pgproto3.Sync{})
 	}
+	conn.SendMarker()
 	if err := conn.Frontend.Flush(); err != nil {
 		return nil, fmt.Errorf("send to endpoint %s: %w", conn.Member, err)
 	}
@@ -100,6 +101,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := conn.ReceiveMarker(); err != nil {
+		return nil, err
+	}
 	return resp, nil
 }
 
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -18,7 +18,8 @@
 // is not reused.
 const maxPrepared = 256
 
-// Conn is a connection to an endpoint that carries callers' statements.
+// Conn is a connection to an endpoint that carries callers' statements. Each request is
+// followed by a marker; see InStep.
 type Conn struct {
 	Member   core.MemberID
 	Frontend *pgproto3.Frontend
@@ -28,6 +29,7 @@
 	pid        uint32
 	secret     []byte
 	prepared   map[string]bool
+	step       step
 	acquiredAt time.Time
 
 	// cancelMu guards inUse. Cancel holds it until the endpoint has processed
@@ -57,6 +59,7 @@
 		pid:      h.PID,
 		secret:   h.SecretKey,
 		prepared: make(map[string]bool),
+		step:     newStep(),
 	}, nil
 }
 
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -121,8 +121,8 @@
 	return d
 }
 
-// Acquire returns a connection, waiting in the queue until ctx ends. After an
-// error nothing was sent to the endpoint.
+// Acquire returns a connection that is in step, waiting in the queue until ctx
+// ends. After an error nothing was sent to the endpoint.
 func (p *Pool) Acquire(ctx context.Context, account string, class core.Class) (*Conn, error) {
 	w, ch, err := p.enqueue(ctx, account, class)
 	if err != nil {
@@ -143,6 +143,10 @@
 	if g.err != nil {
 		return nil, g.err
 	}
+	if g.conn != nil && !g.conn.InStep() {
+		g.conn.Close()
+		g.conn = nil
+	}
 	if g.conn == nil {
 		return p.open(ctx)
 	}
@@ -270,9 +274,11 @@
 }
 
 // Release returns a connection to the pool. It is closed if it is not
-// reusable: it is inside a transaction, has an unread response, or is broken.
+// reusable, because it is inside a transaction or broken, or if it is out of
+// step.
 func (p *Pool) Release(c *Conn, reusable bool) {
 	c.endUse()
+	reusable = reusable && c.InStep()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, c)
--- a/internal/pgframe/pgframe.go
+++ b/internal/pgframe/pgframe.go
@@ -43,6 +43,9 @@
 // Buffered reports whether the whole message has arrived.
 func (r *Reader) Buffered() bool { return r.r.Buffered() >= r.remaining }
 
+// Unread reports whether bytes that were not returned have arrived.
+func (r *Reader) Unread() bool { return r.remaining > 0 || r.r.Buffered() > 0 }
+
 // Read reads at most to the end of the current message.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.remaining == 0 {
--- a/internal/standin/endpoint/admin.go
+++ b/internal/standin/endpoint/admin.go
@@ -22,10 +22,13 @@
 	ApplyLagMS int64 `json:"apply_lag_ms"`
 	SendLagMS  int64 `json:"send_lag_ms"`
 	Leaving    bool  `json:"leaving"`
+	// SecondAnswerShare and SecondAnswerMS are the fields of SecondAnswers.
+	SecondAnswerShare float64 `json:"second_answer_share"`
+	SecondAnswerMS    int64   `json:"second_answer_ms"`
 }
 
-// AdminHandler serves the node's state and sets its simulated lags and its
-// leaving mark over HTTP.
+// AdminHandler serves the node's state and sets its simulated lags, its
+// leaving mark and its second answers over HTTP.
 func (n *Node) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /standin/state", func(w http.ResponseWriter, _ *http.Request) {
@@ -40,6 +43,7 @@
 		}
 		n.SetLag(time.Duration(s.ApplyLagMS)*time.Millisecond, time.Duration(s.SendLagMS)*time.Millisecond)
 		n.SetLeaving(s.Leaving)
+		n.SetSecondAnswers(SecondAnswers{Share: s.SecondAnswerShare, MaxDelay: time.Duration(s.SecondAnswerMS) * time.Millisecond})
 	})
 	return mux
 }
--- a/internal/standin/endpoint/control.go
+++ b/internal/standin/endpoint/control.go
@@ -80,6 +80,7 @@
 
 // controlCopy runs a COPY that streams log entries or the node's status.
 func (s *pgSession) controlCopy(sql string) {
+	s.out.sendOnce()
 	s.be.Send(&pgproto3.CopyOutResponse{})
 	send := func(line []byte) error {
 		s.be.Send(&pgproto3.CopyData{Data: line})
--- a/internal/standin/endpoint/extended.go
+++ b/internal/standin/endpoint/extended.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -12,12 +13,12 @@
 		s.abort("42P05", "prepared statement "+m.Name+" exists")
 		return
 	}
-	s.prepared[m.Name] = m.Query
+	s.prepared[m.Name] = parsed{sql: m.Query, types: slices.Clone(m.ParameterOIDs)}
 	s.be.Send(&pgproto3.ParseComplete{})
 }
 
 func (s *pgSession) bind(m *pgproto3.Bind) {
-	sql, ok := s.prepared[m.PreparedStatement]
+	prepared, ok := s.prepared[m.PreparedStatement]
 	if !ok {
 		s.abort("26000", "prepared statement "+m.PreparedStatement+" does not exist")
 		return
@@ -28,7 +29,7 @@
 			return
 		}
 	}
-	p := portal{sql: sql}
+	p := portal{sql: prepared.sql}
 	for _, raw := range m.Parameters {
 		if raw == nil {
 			p.args = append(p.args, nil)
@@ -42,7 +43,8 @@
 }
 
 func (s *pgSession) describe(m *pgproto3.Describe) {
-	sql := s.prepared[m.Name]
+	prepared := s.prepared[m.Name]
+	sql := prepared.sql
 	if m.ObjectType == 'P' {
 		sql = s.portals[m.Name].sql
 	}
@@ -52,7 +54,9 @@
 		return
 	}
 	if m.ObjectType == 'S' {
-		s.be.Send(&pgproto3.ParameterDescription{ParameterOIDs: make([]uint32, params)})
+		types := make([]uint32, max(params, len(prepared.types)))
+		copy(types, prepared.types)
+		s.be.Send(&pgproto3.ParameterDescription{ParameterOIDs: types})
 	}
 	if len(columns) == 0 {
 		s.be.Send(&pgproto3.NoData{})
--- a/internal/standin/endpoint/node.go
+++ b/internal/standin/endpoint/node.go
@@ -45,6 +45,7 @@
 	leaving       bool
 	applyLag      time.Duration
 	sendLag       time.Duration
+	secondAnswers SecondAnswers
 	evicted       map[string]bool // by run ID of the entry host
 	sessions      map[uint32]*pgSession
 	nextPID       uint32
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -41,7 +41,8 @@
 func (n *Node) serve(conn net.Conn) {
 	defer conn.Close()
 	defer context.AfterFunc(n.t.Context(context.Background()), func() { _ = conn.Close() })()
-	be := pgproto3.NewBackend(conn, conn)
+	out := &answerWriter{conn: conn}
+	be := pgproto3.NewBackend(conn, out)
 	var start *pgproto3.StartupMessage
 	for start == nil {
 		m, err := be.ReceiveStartupMessage()
@@ -62,7 +63,7 @@
 			return
 		}
 	}
-	s := &pgSession{node: n, conn: conn, be: be, done: make(chan struct{})}
+	s := &pgSession{node: n, conn: conn, out: out, be: be, done: make(chan struct{})}
 	s.control = start.Parameters["user"] == ControlUser
 	s.host, _, _ = strings.Cut(start.Parameters["application_name"], " ")
 	if err := s.authenticate(); err != nil {
--- a/internal/standin/endpoint/session.go
+++ b/internal/standin/endpoint/session.go
@@ -17,6 +17,7 @@
 type pgSession struct {
 	node    *Node
 	conn    net.Conn
+	out     *answerWriter
 	be      *pgproto3.Backend
 	control bool   // user is ControlUser
 	host    string // run ID of the entry host, from application_name
@@ -25,9 +26,10 @@
 	done    chan struct{} // closed at the end of the session
 
 	interrupt  chan struct{}     // receives cancel requests
-	prepared   map[string]string // SQL by statement name
+	prepared   map[string]parsed // by statement name
 	portals    map[string]portal
 	skipToSync bool // after an error, until Sync
+	ready      bool // ReadyForQuery is the last message sent
 
 	inTransaction bool         // inside BEGIN
 	txFailed      bool         // inside a failed transaction
@@ -37,6 +39,12 @@
 	txStatements  []statement
 }
 
+// parsed is a prepared statement with the parameter types that were declared.
+type parsed struct {
+	sql   string
+	types []uint32
+}
+
 // portal is a prepared statement with its arguments.
 type portal struct {
 	sql  string
@@ -47,7 +55,7 @@
 // ends.
 func (s *pgSession) run() {
 	s.interrupt = make(chan struct{}, 1)
-	s.prepared = make(map[string]string)
+	s.prepared = make(map[string]parsed)
 	s.portals = make(map[string]portal)
 	key := make([]byte, 4)
 	binary.BigEndian.PutUint32(key, s.secret)
@@ -64,6 +72,10 @@
 	s.be.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: key})
 	s.sendReady()
 	for s.be.Flush() == nil {
+		if s.ready {
+			s.out.endAnswer(s.node.getSecondAnswers())
+			s.ready = false
+		}
 		m, err := s.be.Receive()
 		if err != nil {
 			return
@@ -131,6 +143,7 @@
 		s.be.Send(&pgproto3.ParameterStatus{Name: "cumintrestle.position", Value: p.String()})
 	}
 	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	s.ready = true
 }
 
 // abort sends an error, rolls back the open transaction and skips messages until
