Control calls name their answer

What was seen: the second answer to a status request was taken for that of a fence: the member counted as fenced at a term that it refuses. By the same path an old status gets the time of a new request, which confirms freshness that nobody has, and an eviction counts as done that has not run.

Cause: control connections match answers by their order.

What changed: the call names the column of its answer (AS call_ and 64 random bits) and accepts no other; PostgreSQL returns the alias without any change to the functions. The connection is closed. It doesn't count as the loss of the member, which would close its pool and let the primary be suspected at once.

Ruled out: a nonce in the JSON, which endpoints would have to echo.

--- a/internal/endpoint/control.go
+++ b/internal/endpoint/control.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -68,14 +70,15 @@
 }
 
 // runWithRedial runs attempt until ctx ends, with redialDelay between two
-// runs. It reports each error as the loss of the member.
+// runs. It reports each error as the loss of the member, except for a connection
+// that is out of step: the member is there.
 func (c *Control) runWithRedial(ctx context.Context, attempt func(context.Context) error) error {
 	for {
 		err := attempt(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, errOutOfStep) {
 			c.OnEvent(core.MemberLost{Member: c.Member.ID})
 		}
 		select {
@@ -249,7 +252,8 @@
 	return nil
 }
 
-// call runs one control function on the member.
+// call runs one control function on the member. The response is a column whose name the call
+// has chosen, which tells it from a second response to an earlier call.
 func call(ctx context.Context, conn *pgconn.PgConn, name string, req controlRequest) (controlResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -257,12 +261,16 @@
 	if err != nil {
 		return controlResponse{}, fmt.Errorf("%s: %w", name, err)
 	}
-	sql := "SELECT cumintrestle_" + name + "('" + strings.ReplaceAll(string(body), "'", "''") + "')"
+	column := fmt.Sprintf("call_%016x", rand.Uint64())
+	sql := "SELECT cumintrestle_" + name + "('" + strings.ReplaceAll(string(body), "'", "''") + "') AS " + column
 	results, err := conn.Exec(ctx, sql).ReadAll()
 	if err != nil {
 		return controlResponse{}, fmt.Errorf("%s: %w", name, err)
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+	if len(results) != 1 || len(results[0].FieldDescriptions) != 1 || results[0].FieldDescriptions[0].Name != column {
+		return controlResponse{}, fmt.Errorf("%s: %w", name, errOutOfStep)
+	}
+	if len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
 		return controlResponse{}, fmt.Errorf("%s: unexpected result", name)
 	}
 	var resp controlResponse
--- a/internal/standin/endpoint/control.go
+++ b/internal/standin/endpoint/control.go
@@ -52,8 +52,12 @@
 		s.abort("XX000", err.Error())
 		return
 	}
+	column := name
+	if _, alias, ok := strings.Cut(rest[strings.LastIndexByte(rest, '\'')+1:], " AS "); ok {
+		column = alias
+	}
 	text := string(body)
-	s.describeRows([]string{name})
+	s.describeRows([]string{column})
 	s.sendResult(rowSet{rows: [][]*string{{&text}}}, "SELECT")
 }
 
