Transactions on a connection out of step end before COMMIT is sent

What callers saw: the outcome of COMMIT was unknown whenever an endpoint had sent an answer of the transaction twice, though COMMIT need not have been sent.

Cause: only Acquire and Release looked for unread messages; the statements of a transaction were sent without.

What changed: the connection is checked before each statement of a transaction.

How many outcomes were unknown before was not counted.

--- a/internal/caller/transaction.go
+++ b/internal/caller/transaction.go
@@ -82,6 +82,9 @@
 	if tx.lost {
 		return c.handleAfterLoss(b)
 	}
+	if !tx.pooled.conn.InStep() {
+		return c.failUnsent(b)
+	}
 	if tx.requestID != "" && b.mayCommit() && tx.status == 'T' {
 		// A request id applies to one transaction, which this may commit.
 		c.params.requestID = ""
@@ -105,6 +108,16 @@
 	return c.endTransaction(ctx, resp)
 }
 
+// failUnsent ends a transaction whose connection was found out of step before the request was
+// sent.
+func (c *callerSession) failUnsent(b *batch) error {
+	c.markTransactionLost()
+	if b.mayCommit() {
+		c.tx = nil
+	}
+	return c.failRequest(result.New(result.TransactionFailed, "the endpoint was lost before the statement was sent"))
+}
+
 // endTransaction releases the connection and acknowledges the end of the
 // transaction.
 func (c *callerSession) endTransaction(ctx context.Context, resp *response) error {
