A read is not run again once rows were sent

What callers saw: a large answer had more rows than there are, and no error.

Cause: a read whose replica is lost is run on another one, although rows of an answer above 64 KB are sent on as they come. Second answers only made it frequent: any break within such an answer did it.

What changed: a read that breaks after rows were sent ends with answer_lost, which follows the rows as PostgreSQL's own errors do.

Open: rows of a late second answer above 64 KB can be sent before the marker shows that they are another caller's; the answer then ends with the error, never complete.

--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -58,7 +58,8 @@
 }
 
 // exchange sends a request and a marker on an endpoint connection and reads the response.
-// After an error the outcome is unknown and the connection cannot be reused.
+// After an error the outcome is unknown and the connection cannot be reused; the response, if
+// not nil, has what was read.
 func (c *callerSession) exchange(conn *endpoint.Conn, b *batch, stream bool) (*response, error) {
 	c.setActiveConn(conn)
 	defer c.setActiveConn(nil)
@@ -79,7 +80,7 @@
 	for _, s := range steps {
 		if s.synthetic != nil {
 			if err := c.addToResponse(resp, s.synthetic, stream); err != nil {
-				return nil, err
+				return resp, err
 			}
 		}
 		ok := true
@@ -88,7 +89,7 @@
 			ok, err = c.readStep(conn, resp, s, stream)
 		}
 		if err != nil {
-			return nil, err
+			return resp, err
 		}
 		if !ok {
 			break
@@ -99,10 +100,10 @@
 	}
 	_, err := c.readStep(conn, resp, step{done: isReady, untilReady: true}, stream)
 	if err != nil {
-		return nil, err
+		return resp, err
 	}
 	if err := conn.ReceiveMarker(); err != nil {
-		return nil, err
+		return resp, err
 	}
 	return resp, nil
 }
--- a/internal/caller/read.go
+++ b/internal/caller/read.go
@@ -67,10 +67,14 @@
 		return false, err
 	}
 	resp, err := c.exchange(pc.conn, b, true)
-	pc.release(resp)
 	if err != nil {
+		pc.release(nil)
+		if resp != nil && resp.streamed && err != errDisconnect {
+			return false, result.New(result.AnswerLost, "the replica was lost within its answer: %w", err)
+		}
 		return c.handleReadFailure(err)
 	}
+	pc.release(resp)
 	if resp.streamed {
 		return c.finishRead(ctx, resp, r, o)
 	}
--- a/internal/standin/deploy/second_answer_test.go
+++ b/internal/standin/deploy/second_answer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,7 +63,7 @@
 		}
 		id := fmt.Sprintf("%d-%d", n, i)
 		var err error
-		switch i % 4 {
+		switch i % 5 {
 		case 0:
 			err = r.ask(conn.QueryRow(ctx, "SELECT $1", id), id)
 		case 1:
@@ -72,6 +73,8 @@
 			r.record(id, err)
 		case 3:
 			err = r.transaction(ctx, conn, id)
+		case 4:
+			err = r.readLarge(ctx, conn)
 		}
 		if err != nil {
 			r.failed.Add(1)
@@ -84,6 +87,23 @@
 	}
 }
 
+// largeRows is the number of rows of an answer that is sent on before it is complete.
+const largeRows = 2000
+
+// readLarge reads all rows of a table, and checks that each comes once.
+func (r *secondAnswerRun) readLarge(ctx context.Context, conn *pgx.Conn) error {
+	rows, err := conn.Query(ctx, "SELECT id FROM large")
+	if err != nil {
+		return err
+	}
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	if err == nil && len(ids) != largeRows {
+		r.mixed.Add(1)
+		return fmt.Errorf("%d rows, want %d", len(ids), largeRows)
+	}
+	return err
+}
+
 func (r *secondAnswerRun) transaction(ctx context.Context, conn *pgx.Conn, id string) error {
 	tx, err := conn.Begin(ctx)
 	if err != nil {
@@ -117,6 +137,8 @@
 			d := start(t, spec, Options{Groups: 1, Hosts: 2, NoDelay: true})
 			conn := connect(t, d, 0)
 			exec(t, conn, "CREATE TABLE job (id TEXT)")
+			exec(t, conn, "CREATE TABLE large (id TEXT)")
+			exec(t, conn, "INSERT INTO large VALUES "+strings.Repeat("('"+strings.Repeat("x", 100)+"'),", largeRows-1)+"('y')")
 			for _, z := range d.Spec.Zones {
 				d.Node(MemberOf(d.Spec.Groups[0], z)).SetSecondAnswers(c.policy)
 			}
