Every statement of a text decides where it runs

What callers saw: a text that began with a form feed, a byte order mark, a quote or any byte that is no letter was answered as an empty query, without an error, and didn't run. A SET behind another statement, or behind a comment with another in it, ran on a pooled connection and held for the sessions after. BEGIN behind a SELECT went to a replica, whose connection was closed under the transaction that the caller believed open. After ROLLBACK; INSERT in a transaction whose endpoint was lost, the caller was promised that nothing was kept. Of two SET of cumintrestle parameters in a text, the second became part of the first's value; doubled quotes in a value were refused.

Cause: classification looked at the first word of the whole text, with white space and comments that aren't those of PostgreSQL, and took no word for no statement.

What changed: texts are split at semicolons by PostgreSQL's lexical rules (nested comments, doubled quotes, E'', dollar quotes), and each statement is classified, as the statements of an extended request were already. The text that is sent is not touched. SET CONSTRAINTS counts as local to a transaction, since BEGIN; SET CONSTRAINTS passed before. After a lost transaction, ROLLBACK is answered here only if it stands alone.

Open: session state set by functions (set_config, advisory locks), by temporary tables and cursors WITH HOLD still reaches pooled connections; the split assumes standard_conforming_strings = on, which the host announces.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -122,17 +123,26 @@
 	}
 }
 
+// texts returns the statements of the request.
+func (b *batch) texts() []string {
+	if b.simple {
+		return splitStatements(b.query)
+	}
+	var texts []string
+	for _, p := range b.statements {
+		texts = append(texts, splitStatements(p.query)...)
+	}
+	return texts
+}
+
 // class returns the class of the whole request. It is refused if any
 // statement is refused, or if statements on cumintrestle parameters are
 // combined with others. Otherwise the first statement that is not a read
 // decides.
 func (b *batch) class() statementClass {
-	if b.simple {
-		return classify(b.query)
-	}
 	class := classEmpty
-	for _, p := range b.statements {
-		next := classify(p.query)
+	for _, sql := range b.texts() {
+		next := classify(sql)
 		switch {
 		case class == classEmpty || class == next:
 			class = next
@@ -159,13 +169,18 @@
 	return false
 }
 
-// mayCommit reports whether the request may end a transaction.
+// mayCommit reports whether the request may end a transaction and keep what it did. A false
+// positive does little harm: the response is not streamed, a request id is cleared early, and
+// a lost connection is reported as an unknown outcome.
 func (b *batch) mayCommit() bool {
-	if b.simple {
-		return mayCommit(b.query)
-	}
-	for _, p := range b.statements {
-		if mayCommit(p.query) {
+	texts := b.texts()
+	for _, sql := range texts {
+		u := strings.ToUpper(sql)
+		if strings.Contains(u, "COMMIT") || strings.Contains(u, "END") {
+			return true
+		}
+		// What follows the end of a transaction runs by itself.
+		if len(texts) > 1 && classify(sql) == classEnd {
 			return true
 		}
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -44,6 +44,67 @@
 	}
 }
 
+// TestClassifyOddTexts guards against statements that are answered as empty without being
+// run, and against session state that reaches a pooled connection behind a comment or another
+// statement.
+func TestClassifyOddTexts(t *testing.T) {
+	for _, c := range []struct {
+		sql  string
+		want statementClass
+	}{
+		{"\fSELECT 1", classRead},
+		{"\vINSERT INTO a VALUES (1)", classWrite},
+		{"\ufeffINSERT INTO a VALUES (1)", classWrite},
+		{"\xff", classWrite},
+		{"\"a\"", classWrite},
+		{"1", classWrite},
+		{"((", classWrite},
+		{" \t\r\n\f\v;;", classEmpty},
+		{"-- note", classEmpty},
+		{"/* a /* b */ c */", classEmpty},
+		{"-- note\rSELECT 1", classRead},
+		{"/* /* */ SELECT */ SET search_path = a", classRefused},
+		{"SELECT 1; SET search_path = a", classRefused},
+		{"SELECT ';' ; SET search_path = a", classRefused},
+		{"SELECT E'\\'; SELECT 1' ; SET search_path = a", classRefused},
+		{"SELECT $x$; $y$ ' $x$; DISCARD ALL", classRefused},
+		{"SELECT 1; BEGIN", classBegin},
+		{"SELECT 1; INSERT INTO a VALUES (1)", classWrite},
+		{"SELECT 1; SET cumintrestle.request_id = 'a'", classRefused},
+		{"INSERT INTO a VALUES (1); BEGIN", classWrite},
+		{"SELECT '; SET search_path = a'", classRead},
+		{"SELECT \"; SET search_path = a\"", classRead},
+		{"SELECT $$; SET search_path = a$$", classRead},
+		{"SELECT $1; -- ; SET search_path = a", classRead},
+		{"SELECT a$1$; SET search_path = a", classRefused},
+		{"SET cumintrestle.request_id = 'it''s; here'", classParam},
+	} {
+		if got := (&batch{simple: true, query: c.sql}).class(); got != c.want {
+			t.Errorf("%q: got %d, want %d", c.sql, got, c.want)
+		}
+	}
+}
+
+// TestMayCommit guards against a promise that nothing was kept, given for a request that ran
+// statements behind the end of its transaction.
+func TestMayCommit(t *testing.T) {
+	for _, c := range []struct {
+		sql  string
+		want bool
+	}{
+		{"INSERT INTO a VALUES (1)", false},
+		{"ROLLBACK", false},
+		{"commit", true},
+		{"END", true},
+		{"ROLLBACK; INSERT INTO a VALUES (1)", true},
+		{"/* ; */ abort ; INSERT INTO a VALUES (1)", true},
+	} {
+		if got := (&batch{simple: true, query: c.sql}).mayCommit(); got != c.want {
+			t.Errorf("%q: got %t, want %t", c.sql, got, c.want)
+		}
+	}
+}
+
 func TestRetryBudget(t *testing.T) {
 	b := &RetryBudget{PerSecond: 10, Burst: 3}
 	now := time.Unix(0, 0)
--- a/internal/caller/local.go
+++ b/internal/caller/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -54,7 +55,7 @@
 // setOrReset executes a SET or RESET statement.
 func (c *callerSession) setOrReset(sql string) error {
 	if m := setPattern.FindStringSubmatch(sql); m != nil {
-		return c.params.set(m[1], m[2])
+		return c.params.set(m[1], strings.ReplaceAll(m[2], "''", "'")+m[3])
 	}
 	if m := resetPattern.FindStringSubmatch(sql); m != nil {
 		return c.params.reset(m[1])
--- a/internal/caller/params.go
+++ b/internal/caller/params.go
@@ -21,7 +21,7 @@
 var paramNames = []string{paramToken, paramRequestID, paramMaxReadAge}
 
 var (
-	setPattern   = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+)?(cumintrestle\.\w+)\s*(?:=|\sTO\s)\s*'?([^']*?)'?\s*;?\s*$`)
+	setPattern   = regexp.MustCompile(`(?is)^\s*SET\s+(?:SESSION\s+)?(cumintrestle\.\w+)\s*(?:=|\sTO\s)\s*(?:'((?:[^']|'')*)'|([^\s';]+))\s*;?\s*$`)
 	showPattern  = regexp.MustCompile(`(?is)^\s*SHOW\s+(cumintrestle\.\w+)\s*;?\s*$`)
 	resetPattern = regexp.MustCompile(`(?is)^\s*RESET\s+(cumintrestle\.\w+)\s*;?\s*$`)
 )
--- a/internal/caller/statement.go
+++ b/internal/caller/statement.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"strings"
 )
 
@@ -24,13 +25,14 @@
 // between transactions.
 var sessionStateVerbs = []string{"SET", "RESET", "LISTEN", "UNLISTEN", "PREPARE", "DEALLOCATE", "DISCARD", "LOAD"}
 
-// classify uses the first word of a statement and a few patterns; it does not
+// classify uses the first word of a single statement and a few patterns; it does not
 // parse SQL.
 func classify(sql string) statementClass {
+	if skipBlank(sql) == "" {
+		return classEmpty
+	}
 	word := firstWord(sql)
 	switch word {
-	case "":
-		return classEmpty
 	case "SELECT", "VALUES", "TABLE", "WITH", "EXPLAIN":
 		return classRead
 	case "BEGIN", "START":
@@ -57,35 +59,21 @@
 	return classWrite
 }
 
+// isSetLocal reports whether a SET ends with its transaction.
 func isSetLocal(sql string) bool {
 	fields := strings.Fields(sql)
-	return len(fields) > 1 && strings.EqualFold(fields[0], "SET") &&
-		(strings.EqualFold(fields[1], "LOCAL") || strings.EqualFold(fields[1], "TRANSACTION"))
+	if len(fields) < 2 || !strings.EqualFold(fields[0], "SET") {
+		return false
+	}
+	return slices.Contains([]string{"LOCAL", "TRANSACTION", "CONSTRAINTS"}, strings.ToUpper(fields[1]))
 }
 
+// firstWord returns the first word in upper case, empty if the statement begins with
+// something else.
 func firstWord(sql string) string {
-	s := strings.TrimLeft(sql, " \t\r\n;(")
-	for strings.HasPrefix(s, "--") || strings.HasPrefix(s, "/*") {
-		if strings.HasPrefix(s, "--") {
-			_, s, _ = strings.Cut(s, "\n")
-		} else {
-			_, s, _ = strings.Cut(s, "*/")
-		}
-		s = strings.TrimLeft(s, " \t\r\n;(")
-	}
-	end := strings.IndexFunc(s, func(r rune) bool {
-		return !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r == '_')
-	})
-	if end < 0 {
-		end = len(s)
+	s := skipBlank(sql)
+	for strings.HasPrefix(s, "(") {
+		s = skipBlank(s[1:])
 	}
-	return strings.ToUpper(s[:end])
-}
-
-// mayCommit reports whether a statement may end a transaction. A false
-// positive does little harm: the response is not streamed, a request id is
-// cleared early, and a lost connection is reported as an unknown outcome.
-func mayCommit(sql string) bool {
-	u := strings.ToUpper(sql)
-	return strings.Contains(u, "COMMIT") || strings.Contains(u, "END")
+	return strings.ToUpper(s[:wordLen(s)])
 }
