NULL and an empty text are different parameters of a request id

What callers saw: a request id that was used again with NULL for an empty text got the recorded answer of the other statement, instead of the error for an id that is used twice.

Cause: the fingerprint wrote both as a text of length 0.

Evidence: TestFingerprint failed before for two pairs, and passes.

Other odd bytes (not UTF-8, blanks at the end) were told apart before as well. During a rolling update, the repeat of a request with NULL on a host of the other version is refused as an id that is used twice.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -201,6 +201,10 @@
 			continue
 		}
 		for _, v := range bind.Parameters {
+			if v == nil {
+				_, _ = h.Write([]byte("NULL"))
+				continue
+			}
 			_, _ = fmt.Fprintf(h, "%d:%s", len(v), v)
 		}
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// TestFingerprint guards against a repeated request id that replays the answer for other
+// parameters: NULL and an empty text had the same fingerprint.
+func TestFingerprint(t *testing.T) {
+	seen := make(map[string]int)
+	for i, params := range [][][]byte{
+		{nil}, {{}}, {[]byte("0:")}, {{}, {}}, {nil, {}}, {[]byte("a")}, {[]byte("a\xff")}, {[]byte("a\ufffd")}, {[]byte("a ")},
+	} {
+		f := (&batch{messages: []pgproto3.FrontendMessage{&pgproto3.Bind{Parameters: params}}}).fingerprint()
+		if j, ok := seen[f]; ok {
+			t.Errorf("sets of parameters %d and %d have the same fingerprint", j, i)
+		}
+		seen[f] = i
+	}
+}
+
 func TestRetryBudget(t *testing.T) {
 	b := &RetryBudget{PerSecond: 10, Burst: 3}
 	now := time.Unix(0, 0)
