--- a/internal/standin/endpoint/log.go
+++ b/internal/standin/endpoint/log.go
@@ -1,6 +1,8 @@
 package endpoint
 
 import (
+	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -9,8 +11,46 @@
 // statement is one SQL statement of a write transaction, with its arguments in
 // text format.
 type statement struct {
-	SQL  string    `json:"sql"`
-	Args []*string `json:"args,omitempty"`
+	SQL  string
+	Args []*string
+}
+
+// statementJSON has the texts of a statement as base64, since JSON can't hold any bytes.
+type statementJSON struct {
+	SQL  []byte    `json:"sql"`
+	Args []*[]byte `json:"args,omitempty"`
+}
+
+// MarshalJSON is part of json.Marshaler.
+func (s statement) MarshalJSON() ([]byte, error) {
+	j := statementJSON{SQL: []byte(s.SQL)}
+	for _, a := range s.Args {
+		var raw *[]byte
+		if a != nil {
+			b := []byte(*a)
+			raw = &b
+		}
+		j.Args = append(j.Args, raw)
+	}
+	return json.Marshal(j)
+}
+
+// UnmarshalJSON is part of json.Unmarshaler.
+func (s *statement) UnmarshalJSON(data []byte) error {
+	var j statementJSON
+	if err := json.Unmarshal(data, &j); err != nil {
+		return fmt.Errorf("statement: %w", err)
+	}
+	s.SQL, s.Args = string(j.SQL), nil
+	for _, raw := range j.Args {
+		var a *string
+		if raw != nil {
+			text := string(*raw)
+			a = &text
+		}
+		s.Args = append(s.Args, a)
+	}
+	return nil
 }
 
 // entry is one committed transaction, or the entry without statements that
--- a/internal/standin/endpoint/session.go
+++ b/internal/standin/endpoint/session.go
@@ -229,16 +229,20 @@
 	}
 }
 
-// splitStatements splits SQL at semicolons outside single quotes.
+// splitStatements splits SQL at semicolons outside quotes.
 func splitStatements(sql string) []string {
 	var out []string
-	quoted := false
+	var quote byte
 	start := 0
 	for i := 0; i <= len(sql); i++ {
-		if i < len(sql) && sql[i] == '\'' {
-			quoted = !quoted
-		}
-		if i == len(sql) || sql[i] == ';' && !quoted {
+		switch {
+		case i < len(sql) && quote != 0:
+			if sql[i] == quote {
+				quote = 0
+			}
+		case i < len(sql) && (sql[i] == '\'' || sql[i] == '"'):
+			quote = sql[i]
+		case i == len(sql) || sql[i] == ';':
 			if stmt := strings.TrimSpace(sql[start:i]); stmt != "" {
 				out = append(out, stmt)
 			}
