Review's stand-ins read and write bytes, and can answer twice

What was seen: the stand-ins decoded lines as UTF-8, so that a text that isn't ended a connection, and none of their clients sent such texts; their databases answered once.

What changed: a line ends at CR LF only, each byte is a character, and the record escapes CR and LF. ODD=1 makes the clients of a case write texts of any bytes, TWICE=0.02 makes that share of all answers come twice, at once or up to 40 ms late. Both are off by default. No check was changed.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,8 @@
 import standin  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# ODD makes the clients write texts of any bytes, TWICE is the share of answers that come twice.
+ODD, TWICE = os.environ.get("ODD", "0") != "0", float(os.environ.get("TWICE", "0"))
 LOAD_S, LOST_AT_S, LOST_FOR_S, LOST_X = 60.0, (5.0, 14.0, 23.0, 32.0, 41.0, 50.0), 2.5, 0.2
 ZONES = ["cymru-a", "lloegr-a", "iwerddon-a"]
 REGIONS = {"cymru-a": "cymru", "lloegr-a": "lloegr", "iwerddon-a": "iwerddon"}
@@ -64,7 +66,7 @@
         await read_transaction(c, 1, f"READ card{random.randrange(50)}_6", 0.6)
         return
     if random.random() < 0.2:
-        data = f"{c.name}x{c.n}"
+        data = f"{c.name}x{c.n}" + (standin.odd_text() if ODD else "")
         code, _, digest = await c.query(f"WRITE card{random.randrange(50)}_6 {data}")
         if not code:
             acked_writes[data] = digest
@@ -83,6 +85,8 @@
         await store.start()
         group = standin.Group(store, "die-ledger", ZONES)
         await group.start()
+        for d in group.databases:
+            d.twice = TWICE
         store.on_promote = group.promote
         store.put("op", "config", standin.config(3, [
             ("job-card", "primary", group.name, 800, 1500),
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,6 +16,8 @@
 import standin  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# ODD makes the clients write texts of any bytes, TWICE is the share of answers that come twice.
+ODD, TWICE = os.environ.get("ODD", "0") != "0", float(os.environ.get("TWICE", "0"))
 LOAD_S, DEAF_AT_S, DEAF_FOR_S, GONE_AT_S, RESTARTS_AT_S, GAP_S = 20.0, 5.4, 6.5, 5.6, 6.0, 1.3
 ZONES = ["cymru-a", "lloegr-a", "iwerddon-a"]
 REGIONS = {"cymru-a": "cymru", "lloegr-a": "lloegr", "iwerddon-a": "iwerddon"}
@@ -40,7 +42,7 @@
                     continue
                 await c.connect(random.choice(ready).front, "job-card")
             if random.random() < 0.5:
-                data = f"{name}x{c.n}"
+                data = f"{name}x{c.n}" + (standin.odd_text() if ODD else "")
                 code, _, _ = await c.query(f"WRITE card{random.randrange(50)}_6 {data}")
                 if not code:
                     acked[data] = standin.now()
@@ -102,6 +104,8 @@
         await store.start()
         group = standin.Group(store, "die-ledger", ZONES)
         await group.start()
+        for d in group.databases:
+            d.twice = TWICE
         store.on_promote = group.promote
         store.put("op", "config", standin.config(3, [("job-card", "primary", group.name, 800, 1500)], [group]))
         for i in range(6):
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -47,6 +47,7 @@
         self.file = open(path, "w", encoding="utf-8")
 
     def line(self, text):
+        text = text.replace("\\", "\\\\").replace("\r", "\\r").replace("\n", "\\n")
         self.file.write(f"{now():9.4f} {text}\n")
 
     def close(self):
@@ -59,6 +60,24 @@
         return s.getsockname()[1]
 
 
+# ODD_TEXTS are what a text may hold beside letters: any byte, but not the end of a line.
+ODD_TEXTS = ["\r", "\n", "\n\r", "a\rb", " a  ", "\t", "\0", "\x7f", "\xff", "\xc3", "\xe2\x80\xa8", "'\"\\", "  "]
+
+
+def odd_text():
+    return random.choice(ODD_TEXTS)
+
+
+def to_wire(text):
+    """Returns the bytes of a text, in which each character is one byte."""
+    return text.encode("latin-1")
+
+
+async def read_line(r):
+    """Reads a line, which ends at CR LF only."""
+    return (await r.readuntil(b"\r\n"))[:-2].decode("latin-1")
+
+
 class Store:
     """The platform's store (tables only) and its promote call."""
 
@@ -235,6 +254,8 @@
         self.slow = 1.0
         # lost is the share of the answers to data statements that are lost.
         self.lost = 0.0
+        # twice is the share of all answers that come twice, at once or up to 40 ms late.
+        self.twice = 0.0
         # A deaf replica receives nothing. A database that is gone has no connections.
         self.deaf, self.gone = False, False
         self.writers = set()
@@ -300,7 +321,7 @@
         self.names += 1
         c = Connection(self, f"{self.id}/{self.names}", r)
         try:
-            start = (await r.readuntil(b"\r\n")).decode().split()
+            start = (await read_line(r)).split(" ")
             if len(start) < 3 or start[0] != "START" or start[1] != self.group.name or start[3:] not in ([], [self.id]):
                 w.write(b"ERR WRONGNODE -\r\n")
                 return
@@ -310,8 +331,7 @@
             await asyncio.sleep(0.012 * self.slow)
             w.write(f"READY I {self.point(self.applied_now())}\r\n".encode())
             while True:
-                line = (await r.readuntil(b"\r\n")).decode()[:-2]
-                verb, _, rest = line.partition(" ")
+                verb, _, rest = (await read_line(r)).partition(" ")
                 if verb != "QUERY":
                     return
                 ident, _, text = rest.partition(" ")
@@ -322,7 +342,10 @@
                     self.record.line(f"lost the answer of {self.id} to {ident} {text}")
                     continue
                 state = "E" if c.failed else "T" if c.owner is not None else "I"
-                w.write((out + f"READY {state} {self.point(self.applied_now())}\r\n").encode())
+                answer = to_wire(out + f"READY {state} {self.point(self.applied_now())}\r\n")
+                w.write(answer)
+                if random.random() < self.twice:
+                    self.answer_again(w, answer, ident, text)
                 await w.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -331,6 +354,15 @@
             self.writers.discard(w)
             w.close()
 
+    def answer_again(self, w, answer, ident, text):
+        """Sends an answer a second time, at once or late."""
+        late = random.choice((0, random.uniform(0.001, 0.04)))
+        self.record.line(f"{self.id} answers {ident} {text} twice, {late:.3f} s late")
+        if late == 0:
+            w.write(answer)
+        else:
+            asyncio.get_running_loop().call_later(late, lambda: w.is_closing() or w.write(answer))
+
     def applied_now(self):
         if self.role == "primary":
             return len(self.log)
@@ -499,7 +531,7 @@
     async def connect(self, address, database):
         ip, port = address.split(":")
         self.r, self.w = await asyncio.open_connection(ip, int(port), limit=1 << 21)
-        self.w.write(f"START {database} {self.name}\r\n".encode())
+        self.w.write(to_wire(f"START {database} {self.name}\r\n"))
         try:
             line = await asyncio.wait_for(self.r.readuntil(b"\r\n"), 2)
         except asyncio.TimeoutError:
@@ -510,7 +542,7 @@
             raise Closed(str(e)) from e
         if not line.startswith(b"READY"):
             self.close()
-            raise Closed(line.decode().strip())
+            raise Closed(line.decode("latin-1").strip())
         self.state = "I"
 
     def next_id(self):
@@ -523,9 +555,9 @@
         self.record.line(f"sent {ident} {text}")
         rows, code, digest = [], "", ""
         try:
-            self.w.write(f"QUERY {ident} {text}\r\n".encode())
+            self.w.write(to_wire(f"QUERY {ident} {text}\r\n"))
             while True:
-                line = (await asyncio.wait_for(self.r.readuntil(b"\r\n"), timeout)).decode()[:-2]
+                line = await asyncio.wait_for(read_line(self.r), timeout)
                 verb, _, rest = line.partition(" ")
                 if verb == "ROW":
                     rows.append(rest)
