Status counts connections that are out of step; the test of second answers has a name of its own

Operators saw nothing of second answers. TestInStep checks the count; the FATAL error with which an endpoint closes an idle connection isn't counted.

--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -36,6 +36,8 @@
 	avgHold time.Duration
 	// demand is the peak demand since the last TakeDemand.
 	demand int
+	// outOfStep counts the connections that were closed since they were out of step.
+	outOfStep int
 }
 
 // grant is sent to a waiting request: an idle connection, permission to open
@@ -57,6 +59,9 @@
 	// Demand is the highest number of connections in use and requests waiting
 	// since the last TakeDemand.
 	Demand int `json:"demand"`
+	// OutOfStep counts the connections that were closed because the endpoint had sent an
+	// answer to no request.
+	OutOfStep int `json:"out_of_step"`
 }
 
 // SetLimit sets the maximum number of connections. Excess connections are
@@ -94,7 +99,7 @@
 	defer p.mu.Unlock()
 	return Stats{
 		Limit: p.limit, Held: p.held, Idle: len(p.idle),
-		Waiting: p.queue.Len(), AvgHold: p.avgHold, Demand: p.demand,
+		Waiting: p.queue.Len(), AvgHold: p.avgHold, Demand: p.demand, OutOfStep: p.outOfStep,
 	}
 }
 
@@ -144,6 +149,7 @@
 		return nil, g.err
 	}
 	if g.conn != nil && !g.conn.InStep() {
+		p.countStep(g.conn)
 		g.conn.Close()
 		g.conn = nil
 	}
@@ -279,6 +285,7 @@
 func (p *Pool) Release(c *Conn, reusable bool) {
 	c.endUse()
 	reusable = reusable && c.InStep()
+	p.countStep(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, c)
@@ -292,6 +299,16 @@
 	p.serveQueue()
 }
 
+// countStep counts a connection that is out of step.
+func (p *Pool) countStep(c *Conn) {
+	if !c.step.lost {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outOfStep++
+}
+
 func (p *Pool) recordHold(d time.Duration) {
 	const ewmaDivisor = 16
 	p.avgHold += (d - p.avgHold) / ewmaDivisor
--- a/internal/endpoint/step.go
+++ b/internal/endpoint/step.go
@@ -30,6 +30,8 @@
 	marker uint32
 	// open is true from a request until its marker has been answered.
 	open bool
+	// lost is true once an answer to no request was seen.
+	lost bool
 }
 
 func newStep() step { return step{marker: rand.Uint32()} }
@@ -68,6 +70,7 @@
 			}
 		}
 		if !isAsync(m) {
+			c.step.lost = true
 			return fmt.Errorf("endpoint %s: %w", c.Member, errOutOfStep)
 		}
 	}
@@ -76,14 +79,19 @@
 // InStep reports whether a request may be sent: each earlier one has been answered, and
 // nothing but asynchronous messages has arrived since.
 func (c *Conn) InStep() bool {
-	if c.step.open {
+	if c.step.open || c.step.lost {
 		return false
 	}
 	for c.reader.Unread() || hasData(c.net) {
 		_ = c.net.SetReadDeadline(time.Now().Add(drainTimeout))
 		m, err := c.Frontend.Receive()
 		_ = c.net.SetReadDeadline(time.Time{})
-		if err != nil || !isAsync(m) {
+		if err != nil {
+			c.step.open = true
+			return false
+		}
+		if !isAsync(m) {
+			c.step.lost = !isFatal(m)
 			c.step.open = true
 			return false
 		}
@@ -91,6 +99,12 @@
 	return true
 }
 
+// isFatal reports whether m announces that the endpoint closes the connection.
+func isFatal(m pgproto3.BackendMessage) bool {
+	e, ok := m.(*pgproto3.ErrorResponse)
+	return ok && e.SeverityUnlocalized == "FATAL"
+}
+
 // isAsync reports whether an endpoint may send m at any time.
 func isAsync(m pgproto3.BackendMessage) bool {
 	switch m.(type) {
--- a/internal/endpoint/step_test.go
+++ b/internal/endpoint/step_test.go
@@ -89,18 +89,22 @@
 		endpoint scripted
 		want     error
 		reused   bool
+		counted  int
 	}{
-		{"one answer", scripted{}, nil, true},
+		{"one answer", scripted{}, nil, true, 0},
 		{"asynchronous messages", scripted{between: []pgproto3.BackendMessage{
 			&pgproto3.NoticeResponse{Severity: "NOTICE"}, &pgproto3.ParameterStatus{Name: "a", Value: "b"},
 			&pgproto3.NotificationResponse{Channel: "c"},
-		}}, nil, true},
-		{"one ReadyForQuery too many", scripted{between: []pgproto3.BackendMessage{&pgproto3.ReadyForQuery{TxStatus: 'I'}}}, nil, false},
+		}}, nil, true, 0},
+		{"one ReadyForQuery too many", scripted{between: []pgproto3.BackendMessage{&pgproto3.ReadyForQuery{TxStatus: 'I'}}}, nil, false, 1},
 		{"a second answer", scripted{between: []pgproto3.BackendMessage{
 			&pgproto3.CommandComplete{CommandTag: []byte("A")}, &pgproto3.ReadyForQuery{TxStatus: 'I'},
-		}}, nil, false},
-		{"an error between requests", scripted{between: []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Code: "57P01"}}}, nil, false},
-		{"a second answer after the next request", scripted{late: true}, errOutOfStep, false},
+		}}, nil, false, 1},
+		{"an error between requests", scripted{between: []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Code: "42601"}}}, nil, false, 1},
+		{"a shutdown between requests", scripted{between: []pgproto3.BackendMessage{
+			&pgproto3.ErrorResponse{SeverityUnlocalized: "FATAL", Code: "57P01"},
+		}}, nil, false, 0},
+		{"a second answer after the next request", scripted{late: true}, errOutOfStep, false, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := &Pool{Member: core.Member{ID: "m", Address: serveScripted(t, c.endpoint)}, Database: "d", Clock: clock.New()}
@@ -129,8 +133,8 @@
 				t.Errorf("reused: %t, want %t", next == conn, c.reused)
 			}
 			p.Release(next, false)
-			if s := p.Stats(); s.Held != 0 {
-				t.Errorf("the pool still counts %d connections", s.Held)
+			if s := p.Stats(); s.Held != 0 || s.OutOfStep != c.counted {
+				t.Errorf("the pool counts %d connections, %d out of step, want 0 and %d", s.Held, s.OutOfStep, c.counted)
 			}
 		})
 	}
--- a/internal/standin/deploy/second_answer_test.go
+++ b/internal/standin/deploy/second_answer_test.go
@@ -121,9 +121,9 @@
 	return err
 }
 
-// TestSecondAnswers guards against a second answer that is taken for that of the next
+// TestEndpointsThatAnswerTwice guards against a second answer that is taken for that of the next
 // request: callers got rows of others, and writes were acknowledged that had not run.
-func TestSecondAnswers(t *testing.T) {
+func TestEndpointsThatAnswerTwice(t *testing.T) {
 	for _, c := range []struct {
 		name   string
 		policy endpoint.SecondAnswers
