Names of databases are sent to endpoints unchanged

What was seen: a database group whose name has a blank, a percent sign or a question mark couldn't be reached, or another one was named in its place ("a%20b" was sent as "a b", " a" as "a").

Cause: the name was put into a URL without escaping.

Evidence: TestDatabaseName failed for 5 of 11 names before, and passes. What changed: the name is set after the address was parsed.

--- a/internal/endpoint/dialer.go
+++ b/internal/endpoint/dialer.go
@@ -38,10 +38,11 @@
 func (d Dialer) connectThrough(ctx context.Context, user, address, database string, wrap func(io.Reader) io.Reader) (*pgconn.PgConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	cfg, err := pgconn.ParseConfig("postgres://" + user + "@" + address + "/" + database + "?sslmode=disable")
+	cfg, err := pgconn.ParseConfig("postgres://" + user + "@" + address + "/?sslmode=disable")
 	if err != nil {
 		return nil, fmt.Errorf("endpoint address %s: %w", address, err)
 	}
+	cfg.Database = database
 	cfg.Password = d.Password
 	cfg.RuntimeParams["application_name"] = d.Host
 	cfg.DialFunc = d.DialContext
