Connections to endpoints have the text settings that callers are told

What was found, by reading: hosts tell callers client_encoding UTF8 and standard_conforming_strings on, and quote request ids and accounts in their own statements by these rules, but left both to the defaults of the database. With another encoding texts arrive changed; with the other setting a backslash before a quote ends a literal early.

Evidence: TestDatabaseName checks the start-up message; it failed before and passes. Not run against an endpoint with other defaults: the emulator has none.

What changed: the start-up message sets both.

--- a/internal/endpoint/dialer.go
+++ b/internal/endpoint/dialer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"time"
@@ -21,6 +22,10 @@
 	connectTimeout = 3 * time.Second
 )
 
+// textParams are what texts depend on. Callers are told these values, and the host's own
+// statements need them, whatever the database's defaults are.
+var textParams = map[string]string{"client_encoding": "UTF8", "standard_conforming_strings": "on"}
+
 // Dialer opens connections to endpoints on behalf of one entry host.
 type Dialer struct {
 	// Host identifies this run of the entry host to the endpoint.
@@ -45,6 +50,7 @@
 	cfg.Database = database
 	cfg.Password = d.Password
 	cfg.RuntimeParams["application_name"] = d.Host
+	maps.Copy(cfg.RuntimeParams, textParams)
 	cfg.DialFunc = d.DialContext
 	if wrap != nil {
 		cfg.BuildFrontend = func(r io.Reader, w io.Writer) *pgproto3.Frontend { return pgproto3.NewFrontend(wrap(r), w) }
