Everything but statements ends with a marker; a refused COMMIT of a failed transaction is proved

Cause: successes without a digest were provisional, and in a failed transaction no marker was sent.

What changed: requests that set up or clear a connection or end a transaction are followed by a marker in the same batch, as those that start one were. In a failed transaction the marker begins with ROLLBACK. Of two answers that may be the right one, the one that cannot be a copy wins; two refusals that both promise that nothing was kept are one. A lender tells its borrower that a connection was out of step, so that neither counts that as a failure of the endpoint.

Evidence: TestRefusedCommitOfFailedTransaction and TestRefusedValueIsNotHidden failed before. Price: two small messages for each setup of a connection and each rollback, in the same batch.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -116,7 +116,7 @@
 	}
 	began := c.gate.now()
 	out, err := c.run(call)
-	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil && !notAttempted(err)
+	a.took, a.shed, a.failed = c.gate.now().Sub(began), len(out) > 0 && out[len(out)-1].Code == Busy, err != nil && !notAttempted(err) && !errors.Is(err, ErrOutOfStep)
 	c.gate.end(r, a)
 	return out, err
 }
--- a/internal/exchange/doc.go
+++ b/internal/exchange/doc.go
@@ -7,14 +7,13 @@
 // an earlier one:
 //
 //   - A success of a statement has a digest that the connection has not delivered before.
-//   - A refusal has a code that the connection has not delivered before. Otherwise a marker shows
-//     whether the request was refused. A refused read needs no such proof at once, because it may run
-//     again elsewhere: a marker goes ahead of the next request.
-//   - The start of a transaction and a request about the endpoint itself are followed by a marker.
-//   - Other successes, those of requests that set up or clear the connection, are provisional: the
-//     endpoint runs requests in order, so that a wrong match shows at the next statement.
+//   - A refusal of a statement has a code that the connection has not delivered before. Otherwise a
+//     marker shows whether the statement was refused. A refused read needs no such proof at once,
+//     because it may run again elsewhere: a marker goes ahead of the next request.
+//   - All other requests are followed by a marker: those that start or end a transaction or set up the
+//     connection, and those about the endpoint itself.
 //
-// A marker is one or two requests without an effect, sent in the same batch where possible, whose
+// A marker is one or more requests without an effect, sent in the same batch where possible, whose
 // answers look different from that of the request before. If another answer comes in their place, it
 // is the one to the request, and the answer that was held for it was a copy.
 //
--- a/internal/exchange/requests.go
+++ b/internal/exchange/requests.go
@@ -2,13 +2,15 @@
 
 import "github.com/cumintrestle/cumintrestle/internal/engine"
 
-// idleMarker is a marker outside of a transaction, with the states of its answers. anyMarker may also
-// stand inside of one, where its answer has the state of openStates.
+// A marker is sent behind a request, or ahead of one, and has no effect. idleMarker stands outside of a
+// transaction, anyMarker also inside of one, and failedMarker ends one that has failed.
 var (
-	idleMarker = []engine.Op{{Kind: engine.OpBeginRead}, {Kind: engine.OpRollback}}
-	idleStates = []engine.TxState{engine.InTransaction, engine.Idle}
-	openStates = []engine.TxState{engine.InTransaction}
-	anyMarker  = []engine.Op{{Kind: engine.OpPrepare, Name: "m", Body: engine.PreparedBody{Text: "m"}}}
+	idleMarker   = []engine.Op{{Kind: engine.OpBeginRead}, {Kind: engine.OpRollback}}
+	idleStates   = []engine.TxState{engine.InTransaction, engine.Idle}
+	anyMarker    = []engine.Op{{Kind: engine.OpPrepare, Name: "m", Body: engine.PreparedBody{Text: "m"}}}
+	openStates   = []engine.TxState{engine.InTransaction}
+	failedMarker = append([]engine.Op{{Kind: engine.OpRollback}}, idleMarker...)
+	failedStates = append([]engine.TxState{engine.Idle}, idleStates...)
 )
 
 func isStatement(k engine.OpKind) bool { return k == engine.OpStatement || k == engine.OpExecute }
@@ -19,7 +21,21 @@
 // digest.
 func isControl(k engine.OpKind) bool { return k >= engine.OpStatus }
 
-func alwaysMarked(k engine.OpKind) bool { return isBegin(k) || isControl(k) }
+// markerBehind returns the marker that is always sent behind a request, with the states of its answers,
+// or nil. The states are nil if they depend on the answer to the request.
+func (s *Stream) markerBehind(k engine.OpKind) (marker []engine.Op, states []engine.TxState) {
+	switch {
+	case isStatement(k):
+		return nil, nil
+	case isBegin(k):
+		return anyMarker, nil
+	case isControl(k), k == engine.OpRollback, s.state == engine.Idle:
+		return idleMarker, idleStates
+	case s.state == engine.InTransaction:
+		return anyMarker, openStates
+	}
+	return nil, nil
+}
 
 // isPlain reports whether an answer is a success without rows and digest.
 func isPlain(a Answer) bool {
--- a/internal/exchange/stream.go
+++ b/internal/exchange/stream.go
@@ -33,8 +33,6 @@
 
 	state     engine.TxState
 	delivered delivered
-	// provisional is set while the last answers were successes that copies of others look like.
-	provisional bool
 	// doubtful is set after a refusal that may have been a copy, until a marker was answered.
 	doubtful bool
 	unfit    bool
@@ -54,11 +52,18 @@
 		return nil, engine.NotSent(fmt.Errorf("deadline: %w", err))
 	}
 	last := ops[len(ops)-1]
-	if err := s.discardWaiting(last.Commits || alwaysMarked(last.Kind)); err != nil {
+	marker, states := s.markerBehind(last.Kind)
+	if err := s.discardWaiting(last.Commits || marker != nil); err != nil {
 		return nil, engine.NotSent(err)
 	}
-	settle := s.doubtful && s.state == engine.Idle
-	if err := s.Send(s.batch(ops, settle)); err != nil {
+	settle, batch := s.doubtful && s.state == engine.Idle, ops
+	if settle {
+		batch = slices.Concat(idleMarker, batch)
+	}
+	if marker != nil {
+		batch = slices.Concat(batch, marker)
+	}
+	if err := s.Send(batch); err != nil {
 		return nil, err
 	}
 	if settle {
@@ -67,8 +72,19 @@
 		}
 	}
 	out := make([]engine.Outcome, 0, len(ops))
-	for _, op := range ops {
-		a, err := s.answerTo(op)
+	for i, op := range ops {
+		a, err := s.await(op)
+		if err != nil {
+			return out, err
+		}
+		switch marked := i == len(ops)-1 && marker != nil; {
+		case marked && isBegin(op.Kind):
+			a, err = s.confirmStart(op, a)
+		case marked:
+			a, err = s.confirm(op, a, states)
+		default:
+			a, err = s.accept(op, a)
+		}
 		if err != nil {
 			return out, err
 		}
@@ -78,26 +94,6 @@
 	return out, nil
 }
 
-// batch returns the requests to send, with the markers that are known to be needed.
-func (s *Stream) batch(ops []engine.Op, settle bool) []engine.Op {
-	last := ops[len(ops)-1].Kind
-	if !settle && !alwaysMarked(last) {
-		return ops
-	}
-	var all []engine.Op
-	if settle {
-		all = append(all, idleMarker...)
-	}
-	all = append(all, ops...)
-	switch {
-	case isBegin(last):
-		all = append(all, anyMarker...)
-	case alwaysMarked(last):
-		all = append(all, idleMarker...)
-	}
-	return all
-}
-
 // discardWaiting discards the answers that have arrived before a request is sent.
 func (s *Stream) discardWaiting(thorough bool) error {
 	for n := 0; s.Waiting(thorough); n++ {
@@ -124,7 +120,7 @@
 		case isPlain(a) && a.State == idleStates[matched]:
 			s.delivered.note(a)
 			if matched++; matched == len(idleStates) {
-				s.doubtful, s.provisional = false, false
+				s.doubtful = false
 				return nil
 			}
 		case s.mayBeLate(a) || s.delivered.couldBeCopy(a):
@@ -142,44 +138,19 @@
 	return s.doubtful && !a.Greeting && a.State == engine.Idle && (a.Digest != "" || a.Code != engine.Done)
 }
 
-// answerTo returns the answer to a request that was sent.
-func (s *Stream) answerTo(op engine.Op) (Answer, error) {
-	a, err := s.await(op)
-	if err != nil {
-		return a, err
-	}
-	switch {
-	case isBegin(op.Kind):
-		return s.confirmStart(op, a)
-	case isControl(op.Kind):
-		return s.confirm(op, a, idleStates)
-	case a.Code == engine.Done:
-		s.provisional = isPlain(a)
-		s.delivered.note(a)
-		return a, nil
-	case !s.provisional && !s.delivered.codes[a.Code]:
-		s.delivered.note(a)
-		return a, nil
-	}
-	return s.checkRefusal(op, a)
-}
-
-// checkRefusal returns the answer to a request that seems to be refused.
-func (s *Stream) checkRefusal(op engine.Op, a Answer) (Answer, error) {
+// accept returns the answer to a request that no marker follows. If it may be the copy of an earlier
+// refusal, a marker is sent now, or the doubt is noted where it does no harm.
+func (s *Stream) accept(op engine.Op, a Answer) (Answer, error) {
 	switch {
+	case a.Code == engine.Done || s.certain(a):
 	case op.Commits && a.State == engine.FailedTransaction:
-		// No marker is answered in a failed transaction.
-		return a, errStray(a)
+		a, err := s.confirmNow(op, a, failedMarker, failedStates)
+		a.State = engine.Idle
+		return a, err
 	case op.Commits && a.State == engine.Idle:
-		if err := s.Send(idleMarker); err != nil {
-			return a, err
-		}
-		return s.confirm(op, a, idleStates)
+		return s.confirmNow(op, a, idleMarker, idleStates)
 	case isStatement(op.Kind) && s.state == engine.InTransaction && a.State == engine.InTransaction:
-		if err := s.Send(anyMarker); err != nil {
-			return a, err
-		}
-		return s.confirm(op, a, openStates)
+		return s.confirmNow(op, a, anyMarker, openStates)
 	case isStatement(op.Kind) && s.state == engine.Idle && a.State == engine.Idle:
 		s.doubtful = true
 	default:
@@ -189,6 +160,13 @@
 	return a, nil
 }
 
+func (s *Stream) confirmNow(op engine.Op, a Answer, marker []engine.Op, states []engine.TxState) (Answer, error) {
+	if err := s.Send(marker); err != nil {
+		return a, err
+	}
+	return s.confirm(op, a, states)
+}
+
 // await returns the next answer that may be the one to a request.
 func (s *Stream) await(op engine.Op) (Answer, error) {
 	for range maxStrays {
@@ -218,19 +196,19 @@
 			s.delivered.note(a)
 			if matched++; matched == len(states) {
 				s.delivered.note(candidate)
-				s.provisional = false
 				return candidate, nil
 			}
 		case s.mayAnswer(op, a):
-			if !s.replaces(op, candidate, a) {
+			right, other, ok := s.prefer(op, candidate, a)
+			if !ok {
 				return a, errStray(a)
 			}
-			s.discard(candidate)
-			candidate = a
-			if isStatement(op.Kind) && a.Digest != "" || a.State == engine.FailedTransaction {
+			s.discard(other)
+			candidate = right
+			if isStatement(op.Kind) && a.Digest != "" || a.State == engine.FailedTransaction && states[0] == engine.InTransaction {
 				// Answers to the marker may still come.
-				s.delivered.note(a)
-				return a, nil
+				s.delivered.note(candidate)
+				return candidate, nil
 			}
 		case s.delivered.couldBeCopy(a):
 			s.discard(a)
@@ -248,6 +226,9 @@
 	var started, refused *Answer
 	for range maxStrays {
 		switch answer := a; {
+		case a.State == engine.FailedTransaction && started != nil:
+			// The transaction failed at the marker.
+			return a, errStray(a)
 		case isPlain(a) && a.State == engine.InTransaction && started != nil:
 			return s.choose(*started, refused), nil
 		case isPlain(a) && a.State == engine.Idle && refused != nil:
@@ -278,18 +259,32 @@
 		s.discard(*other)
 	}
 	s.delivered.note(right)
-	s.provisional = false
 	return right
 }
 
-// replaces reports whether the second of two answers that may be the one to a request can stand for
-// it: it is that one, and the first was a copy, or they tell the same.
-func (s *Stream) replaces(op engine.Op, first, second Answer) bool {
-	if isControl(op.Kind) {
-		// Otherwise the second one may be an older copy that was delayed longer.
-		return first.Code == second.Code && first.Point == second.Point && slices.Equal(first.Rows, second.Rows)
+// prefer tells the answer to a request from another one that may be it as well. ok is false if they
+// can't be told apart and tell different things.
+func (s *Stream) prefer(op engine.Op, first, second Answer) (right, other Answer, ok bool) {
+	switch {
+	case s.certain(first) != s.certain(second):
+		if s.certain(first) {
+			return first, second, true
+		}
+		return second, first, true
+	case first.Code == second.Code && slices.Equal(first.Rows, second.Rows):
+		return second, first, !isControl(op.Kind) || first.Point == second.Point
+	case first.Code.NothingKept() && second.Code.NothingKept():
+		return second, first, !isControl(op.Kind)
+	}
+	return first, second, false
+}
+
+// certain reports whether an answer cannot be the copy of an earlier one.
+func (s *Stream) certain(a Answer) bool {
+	if a.Code != engine.Done {
+		return !s.delivered.codes[a.Code]
 	}
-	return first.Code == second.Code || !s.delivered.codes[second.Code]
+	return a.Digest != "" && !s.delivered.digests.has(a.Digest)
 }
 
 // mayAnswer reports whether an answer may be the one to a request, as far as its form shows.
@@ -300,7 +295,7 @@
 	case a.Code != engine.Done:
 		return s.state != engine.Idle || a.State == engine.Idle
 	case isStatement(op.Kind):
-		return a.Digest != "" && !s.delivered.digests.has(a.Digest)
+		return s.certain(a)
 	case isControl(op.Kind):
 		return a.Digest == "" && len(a.Rows) > 0
 	}
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -186,6 +186,8 @@
 		return engine.NotSent(engine.ErrWithdrawn)
 	case failNotSent:
 		return engine.NotSent(errNotRun)
+	case failOutOfStep:
+		return fmt.Errorf("lending host: %w", engine.ErrOutOfStep)
 	case failTimedOut:
 		return errSlow
 	}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -323,6 +323,8 @@
 		return response{Failure: failNotSent}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return response{Failure: failTimedOut}
+	case errors.Is(err, engine.ErrOutOfStep):
+		return response{Failure: failOutOfStep}
 	}
 	return response{Failure: failMaybeSent}
 }
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -77,6 +77,9 @@
 	// failTimedOut means that the time limit of the call passed after the endpoint may have
 	// received an operation.
 	failTimedOut
+	// failOutOfStep means that the answers of the endpoint could not be matched with the call's
+	// operations.
+	failOutOfStep
 )
 
 // request is a message from a borrower to a lender.
