Links: a response that takes long to decode is no silence; few evicted links wait for their end

A response that is being decoded counts as a sign of life.

TestLinksThatStay/lend, 619 descriptors of 400: links that are closed for others waited for the end of the WebSocket handshake, which callers who don't answer never send, for 5 s.

--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -91,6 +91,8 @@
 
 	// heard is when bytes from the lender have arrived last, in ns since the Unix epoch.
 	heard atomic.Int64
+	// decoding is set while a response is decoded.
+	decoding atomic.Bool
 
 	mu sync.Mutex
 	// pending holds the calls without a response, by sequence number. It is nil once
@@ -358,7 +360,7 @@
 			l.noteEnd(err)
 			return
 		}
-		a, err := l.b.decode(body)
+		a, err := l.decode(body)
 		if err != nil {
 			l.noteEnd(err)
 			l.b.reportMalformed(err)
@@ -377,6 +379,14 @@
 	}
 }
 
+// decode decodes a response. What arrives meanwhile is read after that.
+func (l *link) decode(body []byte) (response, error) {
+	l.decoding.Store(true)
+	defer l.decoding.Store(false)
+	defer func() { l.heard.Store(time.Now().UnixNano()) }()
+	return l.b.decode(body)
+}
+
 // teardown closes the link and fails its pending calls.
 func (l *link) teardown() {
 	l.remove()
--- a/internal/lending/keepalive.go
+++ b/internal/lending/keepalive.go
@@ -114,7 +114,7 @@
 }
 
 // ping reports whether the lender gives a sign of life in time. It may be busy with a message, and
-// read the ping only after that.
+// read the ping only after that. Nothing is heard of it while a response is decoded here.
 func (l *link) ping() bool {
 	began, answered := time.Now(), make(chan struct{})
 	go guard.Run("ping of a lender", l.b.OnPanic, func() {
@@ -130,7 +130,7 @@
 	case <-l.ctx.Done():
 		return false
 	case <-t.C:
-		return l.heard.Load() >= began.UnixNano()
+		return l.decoding.Load() || l.heard.Load() >= began.UnixNano()
 	}
 }
 
--- a/internal/lending/leave.go
+++ b/internal/lending/leave.go
@@ -15,8 +15,10 @@
 const (
 	statusLeaving = websocket.StatusGoingAway
 	reasonLeaving = "the host is stopping"
-	// evictTimeout is how long a link that is closed for another one waits for its last answers.
+	// evictTimeout is how long a link that is closed for another one waits for its last answers, and
+	// maxEvicting how many such links may wait at a time.
 	evictTimeout = time.Second
+	maxEvicting  = 16
 )
 
 // Leave closes all links, so that borrowers know which of their calls have not run. It returns once
@@ -96,9 +98,18 @@
 }
 
 // evict closes the link for another connection. A request that has just arrived is answered, or its
-// borrower learns that it has not run.
+// borrower learns that it has not run, unless many links are being closed.
 func (b *borrowerLink) evict() {
+	if b.lender.evicting.Add(1) > maxEvicting {
+		b.lender.evicting.Add(-1)
+		b.ws.CloseNow()
+		return
+	}
+	// The other side may not answer the end of the link.
+	t := time.AfterFunc(evictTimeout, func() { b.ws.CloseNow() })
 	go guard.Run("end of an idle link", b.lender.Engine.ReportPanic, func() {
+		defer b.lender.evicting.Add(-1)
+		defer t.Stop()
 		b.leave(time.Now().Add(evictTimeout))
 		b.ws.CloseNow()
 	})
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -40,6 +40,9 @@
 	Timeout   time.Duration
 	LinkCalls int
 
+	// evicting is the number of links that are being closed for others.
+	evicting atomic.Int32
+
 	// handles is the last handle given out. It begins at a random number, so that handles
 	// don't come again after a restart.
 	handles  atomic.Uint64
