Long texts are split without deep recursion and without a list of their statements

What was seen: classifying a text of 16 MB of short statements allocated 894 MB, more than its request is charged for; one of 16 MB of quotes recursed once for each. Both came with the split of texts into statements.

The recursion didn't overflow in the test.

What changed: statements come one at a time, and a doubled quote is read in a loop.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"iter"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -124,15 +125,30 @@
 }
 
 // texts returns the statements of the request.
-func (b *batch) texts() []string {
+func (b *batch) texts() iter.Seq[string] {
 	if b.simple {
-		return splitStatements(b.query)
+		return statements(b.query)
 	}
-	var texts []string
-	for _, p := range b.statements {
-		texts = append(texts, splitStatements(p.query)...)
+	return func(yield func(string) bool) {
+		for _, p := range b.statements {
+			for sql := range statements(p.query) {
+				if !yield(sql) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// isSingle reports whether the request has one statement at most.
+func (b *batch) isSingle() bool {
+	n := 0
+	for range b.texts() {
+		if n++; n > 1 {
+			return false
+		}
 	}
-	return texts
+	return true
 }
 
 // class returns the class of the whole request. It is refused if any
@@ -141,7 +157,7 @@
 // decides.
 func (b *batch) class() statementClass {
 	class := classEmpty
-	for _, sql := range b.texts() {
+	for sql := range b.texts() {
 		next := classify(sql)
 		switch {
 		case class == classEmpty || class == next:
@@ -173,14 +189,14 @@
 // positive does little harm: the response is not streamed, a request id is cleared early, and
 // a lost connection is reported as an unknown outcome.
 func (b *batch) mayCommit() bool {
-	texts := b.texts()
-	for _, sql := range texts {
+	single := b.isSingle()
+	for sql := range b.texts() {
 		u := strings.ToUpper(sql)
 		if strings.Contains(u, "COMMIT") || strings.Contains(u, "END") {
 			return true
 		}
 		// What follows the end of a transaction runs by itself.
-		if len(texts) > 1 && classify(sql) == classEnd {
+		if !single && classify(sql) == classEnd {
 			return true
 		}
 	}
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -120,6 +121,32 @@
 	}
 }
 
+// TestSplitLongTexts guards against texts that take the host's stack or memory when they are
+// split.
+func TestSplitLongTexts(t *testing.T) {
+	for _, c := range []struct {
+		name, sql string
+		want      statementClass
+	}{
+		{"quotes", "SELECT " + strings.Repeat("'", maxMessageBytes), classRead},
+		{"escaped quotes", "SELECT E" + strings.Repeat("'", maxMessageBytes), classRead},
+		{"comments", strings.Repeat("/*", maxMessageBytes/2), classEmpty},
+		{"statements", strings.Repeat("a;", maxMessageBytes/2), classWrite},
+		{"parentheses", strings.Repeat("(", maxMessageBytes), classWrite},
+		{"dollars", "SELECT " + strings.Repeat("$", maxMessageBytes), classRead},
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		if got := (&batch{simple: true, query: c.sql}).class(); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+		runtime.ReadMemStats(&after)
+		if n := after.TotalAlloc - before.TotalAlloc; n > maxMessageBytes*(requestFactor+1) {
+			t.Errorf("%s: takes %d bytes", c.name, n)
+		}
+	}
+}
+
 func TestRetryBudget(t *testing.T) {
 	b := &RetryBudget{PerSecond: 10, Burst: 3}
 	now := time.Unix(0, 0)
--- a/internal/caller/lex.go
+++ b/internal/caller/lex.go
@@ -1,27 +1,30 @@
 package caller
 
-import "strings"
+import (
+	"iter"
+	"strings"
+)
 
 // blank is PostgreSQL's white space.
 const blank = " \t\r\n\f\v"
 
-// splitStatements splits SQL at semicolons as PostgreSQL does, without empty statements. The
-// statements are parts of sql, less blanks and comments at their start.
-func splitStatements(sql string) []string {
-	var out []string
-	start := 0
-	for i := 0; i <= len(sql); {
-		if i < len(sql) && sql[i] != ';' {
-			i += tokenLen(sql[i:])
-			continue
-		}
-		if s := skipBlank(sql[start:i]); s != "" {
-			out = append(out, s)
+// statements splits SQL at semicolons as PostgreSQL does, without empty statements. They are
+// parts of sql, less blanks and comments at their start.
+func statements(sql string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		start := 0
+		for i := 0; i <= len(sql); {
+			if i < len(sql) && sql[i] != ';' {
+				i += tokenLen(sql[i:])
+				continue
+			}
+			if s := skipBlank(sql[start:i]); s != "" && !yield(s) {
+				return
+			}
+			i++
+			start = i
 		}
-		i++
-		start = i
 	}
-	return out
 }
 
 // skipBlank returns sql from its first token that is no comment and no semicolon.
@@ -75,27 +78,22 @@
 }
 
 // quotedLen returns the length of a text in the quotes that it begins with. A doubled quote
-// ends one text and begins the next, which has the same effect.
+// is part of the text.
 func quotedLen(sql string, backslash bool) int {
 	for i := 1; i < len(sql); i++ {
 		switch {
-		case sql[i] == sql[0]:
-			return i + 1 + doubledLen(sql[i:], backslash)
 		case backslash && sql[i] == '\\':
 			i++
+		case sql[i] != sql[0]:
+		case i+1 < len(sql) && sql[i+1] == sql[0]:
+			i++
+		default:
+			return i + 1
 		}
 	}
 	return len(sql)
 }
 
-// doubledLen returns the length of what follows a closing quote that is doubled, else 0.
-func doubledLen(sql string, backslash bool) int {
-	if len(sql) < 2 || sql[1] != sql[0] {
-		return 0
-	}
-	return quotedLen(sql[1:], backslash)
-}
-
 // dollarLen returns the length of a text in dollar quotes, or 1 if there is none.
 func dollarLen(sql string) int {
 	end := strings.IndexByte(sql[1:], '$') + 2
--- a/internal/caller/transaction.go
+++ b/internal/caller/transaction.go
@@ -144,7 +144,7 @@
 // handleAfterLoss refuses statements until the caller ends the lost
 // transaction.
 func (c *callerSession) handleAfterLoss(b *batch) error {
-	if b.class() == classEnd && len(b.texts()) == 1 {
+	if b.class() == classEnd && b.isSingle() {
 		c.tx = nil
 		return c.respondWithTag(b, "ROLLBACK")
 	}
