--- a/internal/budget/conn.go
+++ b/internal/budget/conn.go
@@ -94,7 +94,7 @@
 	b      *Budget
 	kind   Kind
 	source string
-	// evict closes the connection. It is called without locks, and guarded by the budget's mutex.
+	// evict closes the connection. It is called without locks.
 	evict func()
 
 	state atomic.Int32
@@ -224,21 +224,8 @@
 func (b *Budget) close(victims []*Conn, r Reason) {
 	for _, v := range victims {
 		b.Refused(r)
-		b.mu.Lock()
-		evict := v.evict
-		b.mu.Unlock()
-		evict()
-	}
-}
-
-// OnEvict replaces how the connection is closed for another one.
-func (c *Conn) OnEvict(evict func()) {
-	if c == nil {
-		return
+		v.evict()
 	}
-	c.b.mu.Lock()
-	defer c.b.mu.Unlock()
-	c.evict = evict
 }
 
 // Close ends the accounting of a connection. All that it holds is released.
--- a/internal/lending/leave.go
+++ b/internal/lending/leave.go
@@ -15,8 +15,6 @@
 const (
 	statusLeaving = websocket.StatusGoingAway
 	reasonLeaving = "the host is stopping"
-	// evictTimeout is how long a link that is closed for another one waits for its last answers.
-	evictTimeout = time.Second
 )
 
 // Leave closes all links, so that borrowers know which of their calls have not run. It returns once
@@ -69,41 +67,22 @@
 // leave closes the link after the requests that run have been answered. Calls that wait for a
 // connection are not run any more.
 func (b *borrowerLink) leave(until time.Time) {
-	idle := b.beginLeaving()
+	b.mu.Lock()
+	b.leaving, b.idle = true, make(chan struct{})
+	if b.running == 0 {
+		close(b.idle)
+	}
+	b.mu.Unlock()
 	b.withdrawAll()
 	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
 	select {
-	case <-idle:
+	case <-b.idle:
 		_ = b.ws.Close(statusLeaving, reasonLeaving)
 	case <-t.C:
 	}
 }
 
-// beginLeaving lets no request begin any more, and returns a channel that is closed when all others
-// have been answered.
-func (b *borrowerLink) beginLeaving() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.leaving {
-		return b.idle
-	}
-	b.leaving, b.idle = true, make(chan struct{})
-	if b.running == 0 {
-		close(b.idle)
-	}
-	return b.idle
-}
-
-// evict closes the link for another connection. A request that has just arrived is answered, or its
-// borrower learns that it has not run.
-func (b *borrowerLink) evict() {
-	go guard.Run("end of an idle link", b.lender.Engine.ReportPanic, func() {
-		b.leave(time.Now().Add(evictTimeout))
-		b.ws.CloseNow()
-	})
-}
-
 // noteEnd notes why the link has ended, and whether the lender has said that the pending calls have
 // not run. The first reason is kept.
 func (l *link) noteEnd(err error) {
--- a/internal/lending/leave_test.go
+++ b/internal/lending/leave_test.go
@@ -2,15 +2,10 @@
 
 import (
 	"errors"
-	"net"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
-	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/engine"
-	"github.com/cumintrestle/cumintrestle/internal/httplimit"
 )
 
 // TestLeavingLenderTellsWhatHasNotRun guards against writes in doubt beside planned restarts: a call
@@ -70,36 +65,3 @@
 		t.Errorf("a call that ran when the lender exited: %v, want an error that says that it may have run", err)
 	}
 }
-
-// TestEvictedLinkTellsWhatHasNotRun guards against calls in doubt where links are many: a link that was
-// closed for another one broke under a call that was on its way.
-func TestEvictedLinkTellsWhatHasNotRun(t *testing.T) {
-	p := newPair(t)
-	memory := budget.New(budget.LineShares, 1, 0)
-	p.lender.Budget = memory
-	server := httptest.NewUnstartedServer(nil)
-	server.Config = httplimit.Server(p.lender, httplimit.Limits{})
-	server.Listener = httplimit.Listen(server.Listener, budget.Hosts, memory)
-	server.Start()
-	t.Cleanup(server.CloseClientConnections)
-	address := strings.TrimPrefix(server.URL, "http://")
-	open := func() *link {
-		b := &Borrower{DialContext: (&net.Dialer{}).DialContext, OnDown: func(string) {}}
-		l, err := b.awaitLink(address, 5*time.Second)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return l
-	}
-	first := open()
-	for range 100 {
-		open()
-		if first.ctx.Err() != nil {
-			break
-		}
-	}
-	<-first.ctx.Done()
-	if err := first.endError(); engine.Sent(err) {
-		t.Errorf("a call on a link that was closed for another one ends with %v, want an error that says that it has not run", err)
-	}
-}
--- a/internal/lending/lender.go
+++ b/internal/lending/lender.go
@@ -129,7 +129,6 @@
 	b.beat = time.AfterFunc(beatInterval, b.sendBeat)
 	defer b.setBusy(false)
 	defer b.abortLoans()
-	b.budget.OnEvict(b.evict)
 	if !l.addLink(b) {
 		_ = ws.Close(statusLeaving, reasonLeaving)
 		return
