--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -57,8 +57,9 @@
 	onSuccess func()
 }
 
-// exchange sends a request on an endpoint connection and reads the response.
-// After an error the outcome is unknown and the connection cannot be reused.
+// exchange sends a request and a marker on an endpoint connection and reads the response.
+// After an error the outcome is unknown and the connection cannot be reused; the response, if
+// not nil, has what was read.
 func (c *callerSession) exchange(conn *endpoint.Conn, b *batch, stream bool) (*response, error) {
 	c.setActiveConn(conn)
 	defer c.setActiveConn(nil)
@@ -71,6 +72,7 @@
 		steps = c.sendMessages(conn, b)
 		conn.Frontend.SendSync(&pgproto3.Sync{})
 	}
+	conn.SendMarker()
 	if err := conn.Frontend.Flush(); err != nil {
 		return nil, fmt.Errorf("send to endpoint %s: %w", conn.Member, err)
 	}
@@ -78,7 +80,7 @@
 	for _, s := range steps {
 		if s.synthetic != nil {
 			if err := c.addToResponse(resp, s.synthetic, stream); err != nil {
-				return nil, err
+				return resp, err
 			}
 		}
 		ok := true
@@ -87,7 +89,7 @@
 			ok, err = c.readStep(conn, resp, s, stream)
 		}
 		if err != nil {
-			return nil, err
+			return resp, err
 		}
 		if !ok {
 			break
@@ -98,7 +100,10 @@
 	}
 	_, err := c.readStep(conn, resp, step{done: isReady, untilReady: true}, stream)
 	if err != nil {
-		return nil, err
+		return resp, err
+	}
+	if err := conn.ReceiveMarker(); err != nil {
+		return resp, err
 	}
 	return resp, nil
 }
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -47,7 +47,10 @@
 	// Begin, if set, is called before the first request is sent. The call is not sent if it
 	// returns false.
 	Begin func() bool
-	Ops   []Op
+	// Withdrawn, if set, is closed when the caller does not wait for the call any more. A lending
+	// host then says whether it has sent the call, and does not send it from then on.
+	Withdrawn <-chan struct{}
+	Ops       []Op
 }
 
 // Freshness is the staleness bound of a read, measured when its call arrives, and
@@ -213,6 +216,9 @@
 			g.RecordOverload(now, m.ID)
 		case notAttempted(err):
 			g.StatementNotSent(now, m.ID)
+		case errors.Is(err, ErrOutOfStep):
+			// The endpoint has answered.
+			g.StatementEnded(now, m.ID, now.Sub(sentAt), true, session.Point{})
 		default:
 			g.StatementEnded(now, m.ID, now.Sub(sentAt), false, session.Point{})
 		}
@@ -224,7 +230,10 @@
 	}
 	o := out[len(out)-1]
 	g.StatementEnded(now, m.ID, now.Sub(sentAt), true, o.Point)
-	e.recordSample(g, m, sentAt, o.Point)
+	if o.Code == Done && o.Digest != "" {
+		// Any other answer may be a copy of an earlier one, with a position of before.
+		e.recordSample(g, m, sentAt, o.Point)
+	}
 	switch o.Code {
 	case Behind:
 		g.RecordBehind(now, m.ID, call.minPosition(g, now))
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -148,7 +148,7 @@
 	op := q.op(a.minPosition)
 	call := a.call(s.sessionState(q), op)
 	if q.writes {
-		call.Ops[0].Commits, call.Begin = true, s.progress.beginCommit
+		call.Ops[0].Commits, call.Begin, call.Withdrawn = true, s.progress.beginCommit, s.progress.withdrawn
 	}
 	out, err := s.e.perform(a.g, a.member, c, call)
 	if err != nil && !Sent(err) || err == nil && out[0].Code.notRun() {
@@ -178,6 +178,10 @@
 		}
 		e.emit(Event{Group: g.Name, Endpoint: id, Decision: "no_connection", Reason: err.Error()})
 		return
+	case errors.Is(err, ErrOutOfStep):
+		// Only this connection is affected.
+		e.emit(Event{Group: g.Name, Endpoint: id, Decision: "out_of_step", Reason: err.Error()})
+		return
 	case !errors.Is(err, os.ErrDeadlineExceeded) || g.Unresponsive(e.BootTime(), id):
 		p.closeIdle()
 	}
--- a/internal/lending/message.go
+++ b/internal/lending/message.go
@@ -1,12 +1,9 @@
 package lending
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -32,7 +29,9 @@
 	// connection.
 	verbRun verb = iota
 	// verbRelease ends a transaction that a call left open, by rollback. It has no
-	// response.
+	// response. Without a handle, it withdraws the call with its Seq: if nothing of that call has
+	// been sent to the endpoint, the lender answers it with failWithdrawn and does not send it any
+	// more. Earlier versions ignore that.
 	verbRelease
 	// verbQueryGroup requests the lender's knowledge of a group.
 	verbQueryGroup
@@ -73,6 +72,11 @@
 	// failSendByPassed means that the time to send the call had passed before its turn
 	// came.
 	failSendByPassed
+	// failWithdrawn means that the borrower withdrew the call before it was sent.
+	failWithdrawn
+	// failTimedOut means that the time limit of the call passed after the endpoint may have
+	// received an operation.
+	failTimedOut
 )
 
 // request is a message from a borrower to a lender.
@@ -223,18 +227,8 @@
 	LagMS            int64
 }
 
-func encode(v any) ([]byte, error) { return cbor.Marshal(v) }
-
-var errMalformed = errors.New("malformed message")
-
-// decodeRequest decodes and validates a request.
-func decodeRequest(body []byte) (request, error) {
-	var q request
-	if err := cbor.Unmarshal(body, &q); err != nil {
-		return q, fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	return q, q.check()
-}
+// withdraws reports whether the request withdraws a call.
+func (q request) withdraws() bool { return q.Verb == verbRelease && q.Handle == 0 }
 
 // check validates a request. It rejects times above maxCallTime, which could overflow when
 // added to the current time, and a call that has a staleness bound but no operation to apply
@@ -262,15 +256,6 @@
 	return nil
 }
 
-// decodeResponse decodes and validates a response.
-func decodeResponse(body []byte) (response, error) {
-	var a response
-	if err := cbor.Unmarshal(body, &a); err != nil {
-		return a, fmt.Errorf("%w: %w", errMalformed, err)
-	}
-	return a, a.check()
-}
-
 // check validates a response.
 func (a response) check() error {
 	if !a.Code.Valid() {
--- a/internal/standin/endpoint/control.go
+++ b/internal/standin/endpoint/control.go
@@ -52,8 +52,12 @@
 		s.abort("XX000", err.Error())
 		return
 	}
+	column := name
+	if _, alias, ok := strings.Cut(rest[strings.LastIndexByte(rest, '\'')+1:], " AS "); ok {
+		column = alias
+	}
 	text := string(body)
-	s.describeRows([]string{name})
+	s.describeRows([]string{column})
 	s.sendResult(rowSet{rows: [][]*string{{&text}}}, "SELECT")
 }
 
@@ -80,6 +84,7 @@
 
 // controlCopy runs a COPY that streams log entries or the node's status.
 func (s *pgSession) controlCopy(sql string) {
+	s.out.sendOnce()
 	s.be.Send(&pgproto3.CopyOutResponse{})
 	send := func(line []byte) error {
 		s.be.Send(&pgproto3.CopyData{Data: line})
