--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -171,8 +171,8 @@
 
 // confirmPrimary queries the primary itself after a replica has confirmed that
 // it follows it. A replica that was resumed after a promotion, and does not know
-// of the promotion yet, still confirms the old primary; but that one was demoted
-// before.
+// of the promotion yet, still confirms the old primary. That one was demoted before, or
+// could not be reached; then only unbroken evidence tells.
 func (e *Engine) confirmPrimary(g *group, lead replicaset.Lead, provedAt replicaset.Instant, c *Conn) error {
 	m, ok := g.Member(lead.ID)
 	if !ok {
