Reasons of outcomes are one line

Cause: the reason of a refusal was the text of several joined errors, with an LF between.

What changed: reasons are made as one line, names in them without control characters. Reasons of endpoints pass as they are. Ruled out: a rule for the writer, which must not repair texts.

The soak takes a control character in a reason as a violation from now on.

--- a/internal/engine/commitproof.go
+++ b/internal/engine/commitproof.go
@@ -48,7 +48,7 @@
 	}
 	o := &out[len(out)-1]
 	if err := e.confirmCommit(g, m.ID, o.Point, call.Deadline.Add(-confirmMargin)); err != nil {
-		o.Code, o.Reason = InDoubt, err.Error()
+		o.Code, o.Reason = InDoubt, reasonOf(err)
 	}
 	return out, nil
 }
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -195,9 +195,9 @@
 func refusalOutcome(err error) Outcome {
 	var d *DialError
 	if errors.As(err, &d) && d.Code.NothingKept() {
-		return Outcome{Code: d.Code, Reason: err.Error()}
+		return Outcome{Code: d.Code, Reason: reasonOf(err)}
 	}
-	return Outcome{Code: Busy, Reason: err.Error()}
+	return Outcome{Code: Busy, Reason: reasonOf(err)}
 }
 
 // runStaleRead runs a read that tolerates some staleness at the best member that
@@ -444,5 +444,5 @@
 // inDoubt returns the outcome of a write that may or may not have been applied.
 func (s *CallerSession) inDoubt(q query, m replicaset.Member, err error) Outcome {
 	s.e.emit(Event{Request: q.ID, Group: m.Group, Endpoint: m.ID, Decision: "in_doubt", Code: InDoubt, Reason: err.Error()})
-	return Outcome{Code: InDoubt, Reason: err.Error()}
+	return Outcome{Code: InDoubt, Reason: reasonOf(err)}
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -164,7 +164,7 @@
 		body, ok := s.prepared[st.Name]
 		if !ok {
 			s.failIfOpen()
-			return Outcome{Code: NoStatement, Reason: st.Name}
+			return Outcome{Code: NoStatement, Reason: oneLine(st.Name)}
 		}
 		q.body, q.writes = &body, body.Writes
 	}
@@ -208,7 +208,7 @@
 	}
 	db, ok := d.Databases[s.database]
 	if !ok {
-		return Outcome{Code: UnknownDatabase, Reason: s.database}
+		return Outcome{Code: UnknownDatabase, Reason: oneLine(s.database)}
 	}
 	if o := s.resolveAccount(d, db); o.Code != Done {
 		return o
@@ -296,7 +296,7 @@
 	old, ok := s.prepared[st.Name]
 	if !ok {
 		s.failIfOpen()
-		return Outcome{Code: NoStatement, Reason: st.Name}
+		return Outcome{Code: NoStatement, Reason: oneLine(st.Name)}
 	}
 	s.stateSize -= len(st.Name) + len(old.Text)
 	delete(s.prepared, st.Name)
--- a/internal/engine/statement.go
+++ b/internal/engine/statement.go
@@ -1,6 +1,11 @@
 package engine
 
 import (
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
@@ -125,3 +130,17 @@
 	// OpResume or OpDemote.
 	Report replicaset.Status
 }
+
+// reasonOf returns an error as the reason of an outcome.
+func reasonOf(err error) string { return oneLine(err.Error()) }
+
+// oneLine returns a text for the reason of an outcome. Callers may print reasons, so that it has no
+// line ends, control characters or bytes that are not UTF-8.
+func oneLine(text string) string {
+	text = strings.ReplaceAll(text, "\n", "; ")
+	if utf8.ValidString(text) && !strings.ContainsFunc(text, unicode.IsControl) {
+		return text
+	}
+	quoted := strconv.Quote(text)
+	return quoted[1 : len(quoted)-1]
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cumintrestle/cumintrestle/internal/history"
 	"github.com/cumintrestle/cumintrestle/platform/standin"
@@ -170,6 +171,9 @@
 	if err == nil && a.InDoubt() && c.w.provesOutcome() && to-from < c.w.statementTimeout()-limitMargin {
 		c.l.addViolation("in_doubt", id, "%.40s is in doubt after %s", s.text, to-from)
 	}
+	if strings.ContainsFunc(a.Reason, unicode.IsControl) {
+		c.l.addViolation("reason", id, "%s is refused with %q", s.text, a.Reason)
+	}
 	if err == nil && a.Done() && strings.HasPrefix(s.text, "READ") && len(a.Rows) != 1 {
 		c.l.addViolation("mixed", id, "a read has %d rows", len(a.Rows))
 	}
