One look at data that waits on a connection, for endpoints of both protocols

internal/endpoint and platform had a copy each, which differed where the look itself fails: a connection whose deadline has passed counts as readable now, so that nothing is sent on it.

--- a/internal/endpoint/step.go
+++ b/internal/endpoint/step.go
@@ -4,12 +4,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/cumintrestle/cumintrestle/internal/netpeek"
 )
 
 // The protocol matches answers to requests by their order alone. A connection is in step if
@@ -82,7 +82,7 @@
 	if c.step.open || c.step.lost {
 		return false
 	}
-	for c.reader.Unread() || hasData(c.net) {
+	for c.reader.Unread() || netpeek.Readable(c.net) {
 		_ = c.net.SetReadDeadline(time.Now().Add(drainTimeout))
 		m, err := c.Frontend.Receive()
 		_ = c.net.SetReadDeadline(time.Time{})
@@ -113,22 +113,3 @@
 	}
 	return false
 }
-
-// hasData reports whether a read from conn would return at once, with data or an error.
-func hasData(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	ready := false
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ready = !errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return ready || err != nil
-}
