A link that ended does not count as current after the clock was set back

What callers could see: a host whose link to a relay had ended used an old configuration and old members. The grace of a second after the end of a link is measured between two readings of the wall clock. If the clock was set back by more than that in between, the link counted as current until the clock had caught up, so that the host did not follow the store itself, though it could reach it.

A negative time since the end of the link counts as ended. Ruled out: the monotonic clock in place of Unix ns, since an early end of the grace costs one round of reads of the store only.

Conclusion: a step in either direction can end the grace early, and none prolongs it beyond a second of the new clock.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -80,7 +80,12 @@
 // Current reports whether another host sends this one each change of the store, or did
 // so less than relinkGrace ago.
 func (l *Link) Current() bool {
-	return l.current.Load() || time.Since(time.Unix(0, l.lastCurrent.Load())) < relinkGrace
+	if l.current.Load() {
+		return true
+	}
+	// The time since is negative after the clock was set back.
+	ended := time.Since(time.Unix(0, l.lastCurrent.Load()))
+	return ended >= 0 && ended < relinkGrace
 }
 
 // Reset closes the link, so that another one is opened: messages that wait to be read may be old.
