A call that arrives at a link that is being closed is answered at once

What callers could see: writes in doubt that nobody had sent, beside planned restarts and where links are closed for others. While a lender waited for the last answers of a link, it dropped each request that arrived, and answered neither it nor its withdrawal; the borrower learned that it had not run only when the link was closed. If the call's deadline passed first, it counted as one that may have run.

Red before: TestCallAtLeavingLender (timeout waiting for the lending host). The lender answers such calls, and questions about groups, like one that is not lending; nothing of them is run, as before. Found by reading; not seen in a run of real hosts.

Ruled out: a false promise by the early answer, as no request is begun once the link is leaving.

Conclusion: every call that reaches a leaving lender has an answer or is covered by the status of the close.

--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -123,7 +123,7 @@
 		if q.Verb == verbRun && q.Handle == 0 {
 			b.lender.Budget.Refused(budget.MemoryFull)
 			b.release(c)
-			b.refuse(q)
+			b.refuse(q, failOverloaded)
 			return
 		}
 	}
@@ -131,6 +131,9 @@
 	if r == nil {
 		b.release(c)
 		b.budget.Release(budget.SmallLinks, cost)
+		if q.Verb != verbRelease {
+			b.refuse(q, failLenderUnavailable)
+		}
 		return
 	}
 	b.tasks <- struct{}{}
@@ -166,9 +169,9 @@
 	}
 }
 
-// refuse answers a call that is not run. The link is not read from meanwhile.
-func (b *borrowerLink) refuse(q request) {
-	body, err := encodeResponse(response{Seq: q.Seq, Failure: failOverloaded}, b.lender.Accounts)
+// refuse answers a request that is not run. The link is not read from meanwhile.
+func (b *borrowerLink) refuse(q request, f failure) {
+	body, err := encodeResponse(response{Seq: q.Seq, Failure: f, Handle: q.Handle}, b.lender.Accounts)
 	if err == nil {
 		err = b.send(body)
 	}
--- a/internal/lending/withdraw_test.go
+++ b/internal/lending/withdraw_test.go
@@ -116,3 +116,31 @@
 		t.Errorf("a call that was sent gives %v, want its answer", got.err)
 	}
 }
+
+// TestCallAtLeavingLender guards against writes in doubt beside planned restarts: a call that arrived
+// while its lender waited for the answer of another one was neither run nor answered.
+func TestCallAtLeavingLender(t *testing.T) {
+	p, hanging := newNarrowPair(t, nil)
+	go p.lender.Leave(time.Now().Add(10 * time.Second))
+	p.waitForLeaving()
+	if got := p.withdrawable("wait", 100*time.Millisecond, nil); !errors.Is(got.err, engine.ErrLenderUnavailable) || engine.Sent(got.err) {
+		t.Errorf("a call that arrives gives %v, want one that says that it was not sent", got.err)
+	}
+	p.hang <- struct{}{}
+	if got := <-hanging; got.err != nil {
+		t.Errorf("a call that was sent gives %v, want its answer", got.err)
+	}
+}
+
+// waitForLeaving waits until the lender begins no call any more.
+func (p *lendingPair) waitForLeaving() {
+	for leaving := false; !leaving; time.Sleep(time.Millisecond) {
+		p.lender.mu.Lock()
+		for b := range p.lender.links {
+			b.mu.Lock()
+			leaving = b.leaving
+			b.mu.Unlock()
+		}
+		p.lender.mu.Unlock()
+	}
+}
