A link on which a call panicked does not end as one that has answered all

What callers could see: a promise that nothing is kept for a write that ran, or the write twice, if the task of its call panicked at a lender that was closing the link. The end of the task counted as its answer, so that the link was closed with the status that says that no pending call has run, before the report of the panic had closed it.

Red before: TestPanicAtLeavingLender ("the lending host is not lending connections", marked as not sent). The link is closed before such a call counts as ended.

Ruled out: the same after a response that cannot be sent; the link is closed first there.

Conclusion: the status is sent only if each call has been answered or withdrawn.

--- a/internal/lending/leave_test.go
+++ b/internal/lending/leave_test.go
@@ -1,6 +1,7 @@
 package lending
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http/httptest"
@@ -11,6 +12,8 @@
 	"github.com/cumintrestle/cumintrestle/internal/budget"
 	"github.com/cumintrestle/cumintrestle/internal/engine"
 	"github.com/cumintrestle/cumintrestle/internal/httplimit"
+	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // TestLeavingLenderTellsWhatHasNotRun guards against writes in doubt beside planned restarts: a call
@@ -103,3 +106,39 @@
 		t.Errorf("a call on a link that was closed for another one ends with %v, want an error that says that it has not run", err)
 	}
 }
+
+// TestPanicAtLeavingLender guards against false promises: the link on which a call had panicked was
+// closed as if the call had not been run.
+func TestPanicAtLeavingLender(t *testing.T) {
+	p := newPair(t)
+	dial := p.lender.Engine.Dial
+	p.lender.Engine.Dial = func(ctx context.Context, m replicaset.Member, a session.Account) (*engine.Conn, error) {
+		c, err := dial(ctx, m, a)
+		c.Do = func(time.Time, ...engine.Op) ([]engine.Outcome, error) {
+			<-p.hang
+			panic("the endpoint has received the call")
+		}
+		return c, err
+	}
+	reported := make(chan struct{})
+	p.lender.Engine.Event = func(v engine.Event) {
+		if v.Decision == "panic" {
+			<-reported
+		}
+	}
+	result := make(chan error, 1)
+	go func() {
+		_, _, err := p.run(0, time.Minute, engine.SessionState{}, engine.Op{Text: "WRITE 1 a", Commits: true})
+		result <- err
+	}()
+	for p.dials.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go p.lender.Leave(time.Now().Add(time.Second))
+	p.waitForLeaving()
+	p.hang <- struct{}{}
+	time.AfterFunc(100*time.Millisecond, func() { close(reported) })
+	if err := <-result; !engine.Sent(err) {
+		t.Errorf("a call that panicked: %v, want an error that says that it may have run", err)
+	}
+}
--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -139,7 +139,12 @@
 	b.tasks <- struct{}{}
 	b.noteState()
 	b.start(func() {
+		served := false
 		defer func() {
+			if !served {
+				// After a panic, the link must not end as one that has answered everything.
+				b.ws.CloseNow()
+			}
 			b.endRequest(r)
 			<-b.tasks
 			b.noteState()
@@ -148,9 +153,10 @@
 		}()
 		if q.Verb == verbRelease {
 			b.abortLoan(q.Handle)
-			return
+		} else {
+			b.serve(r)
 		}
-		b.serve(r)
+		served = true
 	})
 }
 
