Links: a refused request is answered like any other

refuse repeated what respond does: encode, send, close the link if that fails. It calls respond now. No change of behaviour: a refusal is never too large, nor charged. Found by reading the change once more; tests of lending pass.

--- a/internal/lending/receive.go
+++ b/internal/lending/receive.go
@@ -177,13 +177,7 @@
 
 // refuse answers a request that is not run. The link is not read from meanwhile.
 func (b *borrowerLink) refuse(q request, f failure) {
-	body, err := encodeResponse(response{Seq: q.Seq, Failure: f, Handle: q.Handle}, b.lender.Accounts)
-	if err == nil {
-		err = b.send(body)
-	}
-	if err != nil {
-		b.ws.CloseNow()
-	}
+	b.respond(q.Seq, response{Failure: f, Handle: q.Handle})
 }
 
 // chargeResponse charges a response of n bytes. A small one always has room, for which links that
