Status tells whether a replica follows or is paused; proofs are forgotten in one place

The condition that a replica follows the primary of a term, unpaused, stood three times, that it is paused twice more, and the reset of all that was learned of a primary twice. They are methods of Status and Set now, and askWords asks in one place. No change of behaviour; no test was changed.

--- a/internal/engine/commitproof.go
+++ b/internal/engine/commitproof.go
@@ -228,7 +228,7 @@
 				e.emit(Event{Group: m.Group, Endpoint: m.ID, Decision: "commit_proof_failed", Reason: err.Error()})
 				return
 			}
-			if follows = st.Role == replicaset.Replica && st.PausedTerm <= st.Term && st.Term == term; !follows {
+			if follows = st.Follows(term); !follows {
 				e.emit(Event{Group: m.Group, Endpoint: m.ID, Decision: "commit_proof_refused", Reason: st.String()})
 			}
 		})
--- a/internal/engine/paused.go
+++ b/internal/engine/paused.go
@@ -28,7 +28,7 @@
 
 // leftPaused reports whether a replica is paused although no switch is known.
 func leftPaused(lead replicaset.Lead, st replicaset.Status) bool {
-	return lead.Version != 0 && !lead.Switching && st.Role == replicaset.Replica && st.PausedTerm > st.Term
+	return lead.Version != 0 && !lead.Switching && st.Role == replicaset.Replica && st.Paused()
 }
 
 // checkPause starts to resume a member that has just reported a pause which may be left over.
--- a/internal/engine/word.go
+++ b/internal/engine/word.go
@@ -19,7 +19,7 @@
 
 // follows reports whether the replica follows the primary of a term and is not paused.
 func (w word) follows(lead replicaset.Lead) bool {
-	return w.err == nil && w.status.Role == replicaset.Replica && w.status.PausedTerm <= w.status.Term && w.status.Term == lead.Term
+	return w.err == nil && w.status.Follows(lead.Term)
 }
 
 // askWords asks replicas in turn whether they follow the primary, and the next one without waiting
@@ -27,18 +27,18 @@
 // answered.
 func (e *Engine) askWords(replicas []replicaset.Member, use func(w word) bool) {
 	answers := make(chan word, len(replicas))
-	asked, open := 0, 0
+	asked, open, slow := 0, 0, false
 	hedge := time.NewTimer(wordHedge)
 	defer hedge.Stop()
 	for {
-		if open == 0 {
-			if asked == len(replicas) {
-				return
-			}
+		if asked < len(replicas) && (open == 0 || slow) {
 			e.askWord(replicas[asked], answers)
-			asked, open = asked+1, open+1
+			asked, open, slow = asked+1, open+1, false
 			hedge.Reset(wordHedge)
 		}
+		if open == 0 {
+			return
+		}
 		select {
 		case w := <-answers:
 			open--
@@ -46,11 +46,7 @@
 				return
 			}
 		case <-hedge.C:
-			if asked < len(replicas) {
-				e.askWord(replicas[asked], answers)
-				asked, open = asked+1, open+1
-				hedge.Reset(wordHedge)
-			}
+			slow = true
 		}
 	}
 }
--- a/internal/failover/resume.go
+++ b/internal/failover/resume.go
@@ -87,7 +87,7 @@
 		for _, m := range paused {
 			if st, ok := reports[m.ID]; !ok {
 				silent = append(silent, m)
-			} else if isPaused(st) {
+			} else if st.Paused() {
 				left = append(left, m)
 			}
 		}
@@ -107,9 +107,6 @@
 	}
 }
 
-// isPaused reports whether an endpoint receives no log.
-func isPaused(st replicaset.Status) bool { return st.PausedTerm > st.Term }
-
 // resumeUnregistered ends the pause of replicas whose registration has lapsed. One that does
 // not answer is resumed by hosts that find it paused once it is registered again.
 func (r *replacement) resumeUnregistered(ctx context.Context, endedAt replicaset.Instant) {
--- a/internal/failover/stop.go
+++ b/internal/failover/stop.go
@@ -148,7 +148,7 @@
 	for _, m := range replicas {
 		before, wasPaused := paused[m.ID]
 		switch st, ok := reports[m.ID]; {
-		case !ok || wasPaused && isPaused(before) && st.PausedTerm == before.PausedTerm:
+		case !ok || wasPaused && before.Paused() && st.PausedTerm == before.PausedTerm:
 		case wasPaused || r.set.IsRecorded(m):
 			return nil, fmt.Errorf("%w: %s, %s", errPauseEnded, m.ID, st)
 		default:
--- a/internal/replicaset/evidence.go
+++ b/internal/replicaset/evidence.go
@@ -25,7 +25,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.members[id]
-	if ok && s.isWitness(m) && st.Role == Replica && st.PausedTerm <= st.Term && st.Term == s.lead.Term {
+	if ok && s.isWitness(m) && st.Follows(s.lead.Term) {
 		s.extendEvidence(sentAt, answeredAt)
 	}
 }
@@ -64,3 +64,8 @@
 	last := s.evidence()
 	return last != 0 && now <= last.Add(ProofTime)
 }
+
+// forgetProofs drops what was learned of the primary that led so far.
+func (s *Set) forgetProofs() {
+	s.samples, s.stuckSince, s.provedAt, s.ledAt, s.commitProvedAt = nil, 0, 0, 0, 0
+}
--- a/internal/replicaset/member.go
+++ b/internal/replicaset/member.go
@@ -74,6 +74,15 @@
 	Started     int64
 }
 
+// Paused reports whether the replica receives no log because a switch has paused it.
+func (s Status) Paused() bool { return s.PausedTerm > s.Term }
+
+// Follows reports whether it is the status of a replica that follows the primary of a term and is
+// not paused.
+func (s Status) Follows(term session.Term) bool {
+	return s.Role == Replica && !s.Paused() && s.Term == term
+}
+
 // Lead is the primary of a group as recorded in the store or, while nothing is recorded, as
 // the members report it.
 type Lead struct {
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -273,7 +273,7 @@
 	s.recordOutdated = false
 	// Learning the term of a known primary is not a change of the primary.
 	if l.ID != s.lead.ID || s.lead.Term != 0 && l.Term != s.lead.Term {
-		s.samples, s.stuckSince, s.provedAt, s.ledAt, s.commitProvedAt = nil, 0, 0, 0, 0
+		s.forgetProofs()
 		s.leadChangedAt = now
 		s.lead = l
 		s.replicatedPoint = session.Point{}
@@ -380,7 +380,7 @@
 		}
 	}
 	if l.ID != s.lead.ID {
-		s.samples, s.stuckSince, s.provedAt, s.ledAt, s.commitProvedAt = nil, 0, 0, 0, 0
+		s.forgetProofs()
 	}
 	s.lead = l
 	s.notify()
