--- a/review/lab/load.go
+++ b/review/lab/load.go
@@ -19,20 +19,21 @@
 	calmTime, judgedTime = 20 * time.Second, 15 * time.Second
 )
 
-// newLedger creates a world with one group of three, which a strict and a bounded database use.
+// newLedger creates a world with one group of three, which a strict and a bounded database use. Promotion,
+// connections and timeouts are those of bathafarn-dies.
 func newLedger(rec *record) (*world, *standin.Group, error) { return newLedgerOf(rec, 3) }
 
 // newLedgerOf is newLedger for a group of n databases.
 func newLedgerOf(rec *record, n int) (*world, *standin.Group, error) {
 	g := standin.NewGroup("ledger", n)
-	g.PromoteAfter, g.CommitWait = 600*time.Millisecond, 800*time.Millisecond
+	g.PromoteAfter, g.CommitWait = time.Second, 800*time.Millisecond
 	w, err := newWorld(rec, g)
 	if err != nil {
 		return nil, nil, err
 	}
 	w.route([]standin.Route{
 		{Database: "cards", Kind: "primary", Group: "ledger", Timeout: 800 * time.Millisecond},
-		{Database: "views", Kind: "bounded", Group: "ledger", Timeout: 800 * time.Millisecond, MaxAge: 1500 * time.Millisecond},
+		{Database: "views", Kind: "bounded", Group: "ledger", Timeout: 2 * time.Second, MaxAge: 1500 * time.Millisecond},
 	}, 41)
 	return w, g, nil
 }
