Commits are acknowledged by the replicas that promotions ask

A replica that had them lived.

Cause: a host asked which replica has a commit only if it knew of a lapse, a loss or a switch, or did not hear from the store. A database that follows the primary and is not registered gives no sign of that kind to anybody.

What changed: the host with the connection confirms a commit once a registered replica that the membership record names is known to have it, and a commit proof covers the time at which that was seen. The STATUS that finds the position renews the commit proof. Losses are covered by the same replicas only, and a position of a later term no longer counts for an earlier one.

Ruled out: waiting only where something looks odd (nothing does), and waiting at the caller's host (one STATUS a host in place of one a holder).

Evidence: TestCommitOfUnregisteredReplica (known red so far) and TestReplicatedByElectors failed before. spec/acknowledge.pml has the rule as its default; without it (ANY_COPY) an unregistered replica gives a counterexample. OLD_LIST is a second line of defence now and breaks with ANY_COPY only.

Test data: the replicas of three tests claimed to follow the primary but had received nothing, which a synchronous primary would not answer; they report the position now. TestCommitBesideSwitchIsInDoubt got a case without a replica that has the write, and TestCommitProvesReadsOnlySinceItsProof records the replica's position before, as asking it would extend the proof.

Conclusion: who backs a commit is whom the election asks.

--- a/internal/engine/commitguards_test.go
+++ b/internal/engine/commitguards_test.go
@@ -47,11 +47,12 @@
 // TestCommitProvesReadsOnlySinceItsProof guards against stale reads: a commit proved reads from
 // the time of its answer on, which may be later than the proof of the commit.
 func TestCommitProvesReadsOnlySinceItsProof(t *testing.T) {
-	follows := replicaset.Status{Role: replicaset.Replica, Term: 1}
-	d := &commitGroup{reports: map[replicaset.EndpointID]replicaset.Status{"p": {Role: replicaset.Primary, Term: 1}, "a": follows, "b": follows}}
+	d := &commitGroup{reports: map[replicaset.EndpointID]replicaset.Status{"p": {Role: replicaset.Primary, Term: 1}, "a": followsPrimary, "b": followsPrimary}}
 	e := d.engine()
 	provedAt := e.BootTime()
 	time.Sleep(200 * time.Millisecond)
+	// The host need not ask a replica for the commit, which would extend the proof.
+	e.Group("g").RecordReport("a", followsPrimary)
 	s, _ := e.Open("db", "")
 	if o := s.Run(Statement{ID: "w-1", Kind: Write, Text: "WRITE 1 x"}); o.Code != Done {
 		t.Fatal(o.Reason)
--- a/internal/engine/commitproof.go
+++ b/internal/engine/commitproof.go
@@ -33,8 +33,9 @@
 )
 
 // runConfirmed runs a call. On a connection of this host, a synchronous commit is answered
-// with InDoubt unless a commit proof covers the time of the primary's answer: a promotion may
-// have read the positions of the replicas before, even if this host has not heard of it.
+// with InDoubt unless a replica that promotions ask is known to have it, and a commit proof covers
+// that time: a promotion may have read the positions of the replicas before, even if this host has
+// not heard of it.
 func (e *Engine) runConfirmed(g *group, m replicaset.Member, c *Conn, call Call) ([]Outcome, error) {
 	if c.RunRemote != nil || !call.commitsWrites() || !e.Policy(g.Name).Synchronous {
 		return c.Run(call)
@@ -76,30 +77,44 @@
 	return nil
 }
 
-// confirmCommit waits for a commit proof for a commit at position p that the endpoint has just
-// answered.
+// confirmCommit confirms a commit at position p that the endpoint has just answered. It waits until
+// a replica that each promotion asks has received the commit, and then for a commit proof: no
+// promotion has read the positions of the replicas before.
 func (e *Engine) confirmCommit(g *group, id replicaset.EndpointID, p session.Point, deadline time.Time) error {
 	doneAt := e.BootTime()
+	var replicatedAt replicaset.Instant
 	for {
 		changed, lead := g.Changed(), g.Lead()
+		if replicatedAt == 0 && g.Replicated(p) {
+			replicatedAt = e.BootTime()
+		}
 		switch {
 		case lead.ID != id || lead.Term != 0 && p.Term != 0 && p.Term != lead.Term:
 			return errReplaced
-		case g.HasCommitProof(doneAt):
+		case replicatedAt != 0 && g.HasCommitProof(replicatedAt):
 			// The primary has completed a commit besides, which only a primary does.
 			g.RecordProof(lead, min(doneAt, g.CommitProofEnd().Add(-replicaset.CommitProofTime)))
 			return nil
+		case !e.Now().Before(deadline) && replicatedAt == 0:
+			return errNotReplicated
 		case !e.Now().Before(deadline):
 			return errNoCommitProof
 		}
-		wait := deadline.Sub(e.Now())
-		var done <-chan struct{}
-		if !lead.Switching {
-			call := e.startCommitProof(g, max(lead.Term, p.Term))
-			done, wait = call.done, min(wait, commitProofTimeout)
-		}
-		e.awaitAny(changed, done, wait)
+		e.awaitAny(changed, e.pursueCommit(g, lead, p, replicatedAt != 0), deadline.Sub(e.Now()))
+	}
+}
+
+// pursueCommit requests what is missing to confirm a commit at position p, and returns a channel
+// that is closed once the request has ended. It returns nil during a switch whose end the commit
+// has to wait for.
+func (e *Engine) pursueCommit(g *group, lead replicaset.Lead, p session.Point, replicated bool) <-chan struct{} {
+	switch {
+	case !replicated && (!lead.Switching || g.HasCommitProof(e.BootTime())):
+		return e.startReplicaCheck(g, p).done
+	case !lead.Switching:
+		return e.startCommitProof(g, max(lead.Term, p.Term)).done
 	}
+	return nil
 }
 
 // awaitAny waits for one of two events, but no longer than d.
--- a/internal/engine/commitproof_test.go
+++ b/internal/engine/commitproof_test.go
@@ -24,6 +24,9 @@
 
 var commitLead = replicaset.Lead{ID: "p", Term: 1, Version: 7}
 
+// followsPrimary is the report of a replica that has received what the primary commits.
+var followsPrimary = replicaset.Status{Role: replicaset.Replica, Term: 1, Received: session.Point{Term: 1, Position: 7}}
+
 func (d *commitGroup) engine() *Engine {
 	e := &Engine{Zone: "z", Now: time.Now, BootTime: func() replicaset.Instant { return replicaset.Instant(time.Now().UnixNano()) }}
 	e.Dial = func(_ context.Context, m replicaset.Member, _ session.Account) (*Conn, error) {
@@ -135,7 +138,6 @@
 // a primary that could not be demoted and its replicas, resumed, look to a host without the
 // store as before the switch.
 func TestBrokenChainOfCommitProofs(t *testing.T) {
-	follows := replicaset.Status{Role: replicaset.Replica, Term: 1}
 	tests := []struct {
 		name         string
 		expired      bool
@@ -151,7 +153,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			d := &commitGroup{
-				reports:  map[replicaset.EndpointID]replicaset.Status{"p": {Role: replicaset.Primary, Term: 1}, "a": follows, "b": follows},
+				reports:  map[replicaset.EndpointID]replicaset.Status{"p": {Role: replicaset.Primary, Term: 1}, "a": followsPrimary, "b": followsPrimary},
 				recorded: tt.recorded,
 			}
 			e := d.engine()
--- a/internal/engine/replicated.go
+++ b/internal/engine/replicated.go
@@ -11,19 +11,18 @@
 // replicatedPause is the pause between two rounds of requests to the replicas of a group.
 const replicatedPause = 20 * time.Millisecond
 
-// errNotReplicated reports that no registered replica was seen to have a commit, errReplaced
+// errNotReplicated reports that no replica that promotions ask was seen to have a commit, errReplaced
 // that another primary leads by the time of its answer.
 var (
-	errNotReplicated = errors.New("no registered replica is known to have the commit")
+	errNotReplicated = errors.New("no recorded replica is known to have the commit")
 	errReplaced      = errors.New("the primary was replaced while the commit ran")
 )
 
 // acknowledge returns a commit's answer if no promotion can have taken effect
-// before the commit. A synchronous commit was received by a replica, and the host that
-// holds the connection has confirmed that no promotion had read the replicas' positions
-// by then; after any other commit, a proof is required that the primary still leads. A
-// synchronous commit waits for a registered replica if only another one may have
-// received it.
+// before the commit. A synchronous commit was received by a replica that promotions ask, and the
+// host that holds the connection has confirmed that none had read the replicas' positions by
+// then; after any other commit, a proof is required that the primary still leads. If this host
+// knows of a switch or a lapse that the other one may not have heard of, it looks for itself.
 func (s *CallerSession) acknowledge(g *group, lead replicaset.Lead, q query, sentAt replicaset.Instant, deadline time.Time, o Outcome) Outcome {
 	if o.Code == InDoubt {
 		return s.inDoubt(q, replicaset.Member{ID: lead.ID, Group: g.Name}, errors.New(o.Reason))
@@ -93,12 +92,24 @@
 	return call
 }
 
-// askReplicas asks the replicas one after the other until one has the log up to p. Control
-// records what they report.
+// askReplicas asks the replicas that promotions ask one after the other until one has the log up
+// to p. Control records what they report.
 func (e *Engine) askReplicas(g *group, p session.Point) {
-	others, _ := g.ReadOrder(e.BootTime(), session.Point{}, map[replicaset.EndpointID]bool{g.Lead().ID: true})
+	lead := g.Lead()
+	others, _ := g.ReadOrder(e.BootTime(), session.Point{}, map[replicaset.EndpointID]bool{lead.ID: true})
 	for _, m := range others {
-		if st, err := e.status(m, proofTimeout); err == nil && !st.Received.Less(p) {
+		if !g.MayWitness(m.ID) {
+			continue
+		}
+		sentAt := e.BootTime()
+		st, err := e.status(m, proofTimeout)
+		if err != nil {
+			continue
+		}
+		if !e.blind() && g.IsRecorded(m) && st.Follows(max(lead.Term, p.Term)) {
+			g.ExtendCommitProof(lead, sentAt, e.BootTime())
+		}
+		if g.Replicated(p) {
 			return
 		}
 	}
--- a/internal/engine/replicated_test.go
+++ b/internal/engine/replicated_test.go
@@ -8,14 +8,21 @@
 
 // TestCommitBesideSwitchIsInDoubt guards against lost commits: a primary that was being replaced
 // completed a write with a replica that had just joined, or was not registered any more, and the
-// host acknowledged it although the promotion did not ask that replica.
+// host acknowledged it although the promotion did not ask that replica. Unless stated, no replica
+// that promotions ask is known to have the write.
 func TestCommitBesideSwitchIsInDoubt(t *testing.T) {
 	tests := []struct {
 		name   string
 		during func(e *Engine, g *replicaset.Set)
 		want   Code
 	}{
-		{"nothing happens", func(*Engine, *replicaset.Set) {}, Done},
+		{"a registered replica has the write", func(e *Engine, g *replicaset.Set) {
+			g.Register(e.BootTime(), replicaset.Member{ID: "r", Group: "g", Address: "r", Role: replicaset.Replica})
+			g.RecordReport("r", followsPrimary)
+		}, Done},
+		{"no registered replica has the write", func(e *Engine, g *replicaset.Set) {
+			g.Register(e.BootTime(), replicaset.Member{ID: "r", Group: "g", Address: "r", Role: replicaset.Replica})
+		}, InDoubt},
 		{"the primary is being replaced", func(e *Engine, g *replicaset.Set) {
 			g.SetLead(e.BootTime(), replicaset.Lead{ID: "p", Term: 1, Switching: true, Version: 2})
 		}, InDoubt},
--- a/internal/replicaset/lost.go
+++ b/internal/replicaset/lost.go
@@ -127,20 +127,32 @@
 	}
 }
 
-// cover notes the position of a registered replica for all losses.
+// cover notes the position of an elector for all losses.
 func (s *Set) cover(p session.Point) {
-	s.replicatedPoint = s.replicatedPoint.Max(p)
+	if s.lead.Term == 0 || p.Term == s.lead.Term {
+		s.replicatedPoint = s.replicatedPoint.Max(p)
+	}
 	s.earlier.reach(p)
 	for _, l := range s.lost {
 		l.reach(p)
 	}
 }
 
+// isElector reports whether every host that replaces the primary asks a member for its position:
+// the member is a registered replica, and the membership record names it if there is a trusted one.
+// A host that has not heard of the registration finds the member in the record.
+func (s *Set) isElector(m *memberState) bool {
+	if s.recordTrusted {
+		return s.isWitness(m)
+	}
+	return m.ID != s.lead.ID && m.removedAt == 0
+}
+
 // RecordReport records what a replica's report tells about lost commits.
 func (s *Set) RecordReport(id EndpointID, st Status) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m, ok := s.members[id]; ok && id != s.lead.ID && m.removedAt == 0 && st.Role == Replica && st.Term == s.lead.Term {
+	if m, ok := s.members[id]; ok && s.isElector(m) && st.Role == Replica && (s.lead.Term == 0 || st.Term == s.lead.Term) {
 		s.cover(st.Received)
 	}
 }
@@ -196,15 +208,28 @@
 	}
 }
 
-// AwaitsReplica reports whether a commit up to p must not be acknowledged before a registered
-// replica has it: the replica that has received it may be one that a promotion does not ask.
-// While the primary is replaced, that is one that has just joined; else one whose registration
-// has lapsed. From Expire on this host acknowledges none without, so that losses are covered by
-// later positions. blind is set if this host may not have heard of a lapse or a switch.
+// Replicated reports whether a replica that each promotion asks is known to have the primary's log
+// up to p. The replica that the primary waited for may be one that no host knows of.
+func (s *Set) Replicated(p session.Point) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replicated(p)
+}
+
+// replicated reports whether an elector has reported p or a later position of the same term. One of
+// a later term may lack p.
+func (s *Set) replicated(p session.Point) bool {
+	return p == session.Point{} || p.Term == s.replicatedPoint.Term && !s.replicatedPoint.Less(p)
+}
+
+// AwaitsReplica reports whether a commit up to p that the host with the connection has confirmed
+// must not be acknowledged before this host knows a replica that has it: that host may not have
+// heard of a switch or a lapse. From Expire on this host acknowledges none without, so that losses
+// are covered by later positions. blind is set if this host may not have heard of them either.
 func (s *Set) AwaitsReplica(p session.Point, blind bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.replicatedPoint.Less(p) {
+	if s.replicated(p) {
 		return false
 	}
 	if s.lead.Switching || blind {
--- a/internal/replicaset/membership_test.go
+++ b/internal/replicaset/membership_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/revision"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // freshSet returns the group of testSet as a host sees it that started after replica b was
@@ -173,6 +174,54 @@
 	}
 }
 
+// TestReplicatedByElectors guards against lost commits: the host acknowledged what only a replica had
+// received that a promotion by another host does not ask, or that has another log.
+func TestReplicatedByElectors(t *testing.T) {
+	has := func(term int) Status {
+		return Status{Role: Replica, Term: session.Term(term), Received: point(term, 9)}
+	}
+	tests := []struct {
+		name   string
+		events func(s *Set)
+		want   bool
+	}{
+		{"no replica has reported", func(*Set) {}, false},
+		{"a recorded replica has it", func(s *Set) { s.RecordReport("a", has(1)) }, true},
+		{"the primary has it", func(s *Set) { s.RecordReport("p", has(1)) }, false},
+		{"one that is neither registered nor recorded has it", func(s *Set) { s.RecordReport("c", has(1)) }, false},
+		{"one that is registered and not recorded has it", func(s *Set) {
+			s.Register(at(1000), Member{ID: "c", Role: Replica, Started: 1})
+			s.RecordReport("c", has(1))
+		}, false},
+		{"the same, as read from the position of an answer", func(s *Set) {
+			s.Register(at(1000), Member{ID: "c", Role: Replica, Started: 1})
+			s.StatementEnded(at(1100), "c", time.Millisecond, true, point(1, 9))
+		}, false},
+		{"no record is known, and a registered replica has it", func(s *Set) {
+			s.MembershipLost(revision.Revision{Era: 1, Version: 1})
+			s.Register(at(1000), Member{ID: "c", Role: Replica, Started: 1})
+			s.RecordReport("c", has(1))
+		}, true},
+		{"a recorded replica whose registration has lapsed has it", func(s *Set) {
+			s.Deregister(at(1000), "a")
+			s.RecordReport("a", has(1))
+		}, false},
+		{"a recorded replica is in a later term", func(s *Set) { s.RecordReport("a", has(2)) }, false},
+		{"the same, as read from the position of an answer", func(s *Set) {
+			s.StatementEnded(at(1100), "a", time.Millisecond, true, point(2, 9))
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSet()
+			tt.events(s)
+			if got := s.Replicated(point(1, 9)); got != tt.want {
+				t.Errorf("Replicated gives %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestHostWithoutStoreAwaitsReplica guards against lost commits: a host that was cut off from
 // the store did not hear that the registration of a replica had lapsed, and acknowledged
 // commits that only this replica had received.
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -96,8 +96,8 @@
 	// ackedPoint is the highest position up to which this host acknowledged commits.
 	ackedPoint session.Point
 	lost       map[incarnation]*lostReplica
-	// replicatedPoint is the highest position that a registered replica has reported in the
-	// term of the primary.
+	// replicatedPoint is the highest position that an elector has reported in the term of the
+	// primary, or in any while that term is unknown.
 	replicatedPoint session.Point
 	// earlier stands for the replicas that were lost before this host knew the group.
 	earlier loss
--- a/spec/acknowledge.pml
+++ b/spec/acknowledge.pml
@@ -2,7 +2,8 @@
  * Acknowledgements beside the replacement of a primary (internal/engine, internal/failover): the
  * evidence that a commit needs, and the steps of a switch. The old primary remains alive and
  * reachable. There are two recorded replicas (1, 2) and one (3) that joins at any time. A commit is
- * done at the primary once one replica has received it.
+ * done at the primary once one replica has received it. The host acknowledges it once a recorded one
+ * has it: those are the replicas that every switch asks.
  *
  * One host answers callers. It may read the record in the store, or ask the two replicas that it
  * knows of; it need not do either, so it may not have heard of the switch or of replica 3. One host
@@ -24,6 +25,7 @@
  * Each macro below removes one guard, and spec/check.sh requires that the model then has a
  * counterexample:
  *   NO_EVIDENCE      acknowledge what the primary answers
+ *   ANY_COPY         with UNREGISTERED: acknowledge what any replica has received, recorded or not
  *   SEPARATE         accept answers of replicas without earlier evidence
  *   LATE_ANSWER      accept answers if earlier evidence was valid at the request, but not at the
  *                    last answer
@@ -35,7 +37,7 @@
  *   NO_SECOND_LOOK   do not check after the wait that replicas are still paused
  *   ANY_PAUSE        accept a pause by an earlier switch in that check
  *   REPEATED_PAUSE   send PAUSE again with the same term, so that the first one may arrive late
- *   OLD_LIST         ask only the replicas that were registered when the switch began
+ *   OLD_LIST         with ANY_COPY: ask only the replicas that were registered when the switch began
  *   NO_RECORD_LOOK   do not read the record after the wait
  *   NO_LEASE         promote although the lease has ended
  *   NO_COVER         with LOSES_LOG: promote although a replica has lost its log, and no other one
@@ -50,8 +52,7 @@
  *   KEEPS            one recorded replica stays paused from the last look until a recorded one
  *                    leads and earlier rounds of questions have ended; SEPARATE holds with it
  *   KEEPS_TO_EFFECT  the same, but only until the effect; SEPARATE does not hold
- *   UNREGISTERED     replica 3 receives before it is registered; does not hold, except with
- *                    RECORDED_COPY: acknowledge only what a recorded replica has
+ *   UNREGISTERED     replica 3 receives before it is registered
  *   PASSED_OVER      recorded replicas that do not answer the switch, but answer the host, count as
  *                    gone; does not hold
  *   PUT_BACK         the record is put back after the switch has looked at it; does not hold
@@ -190,10 +191,10 @@
 #ifdef NO_EVIDENCE
   :: atomic { acked < done -> acknowledge(done) }
 #endif
-#ifdef RECORDED_COPY
-  :: atomic { acked < done && evidence <= VALID && (got[1] >= done || got[2] >= done) -> acknowledge(done) }
-#else
+#ifdef ANY_COPY
   :: atomic { acked < done && evidence <= VALID -> acknowledge(done) }
+#else
+  :: atomic { acked < done && evidence <= VALID && (got[1] >= done || got[2] >= done) -> acknowledge(done) }
 #endif
 #ifdef SEPARATE
   :: atomic { answered != 0 && asked <= VALID && waiting < done -> waiting = done }
