A group without a known primary is surveyed and switched

Cause: a group that was never switched has no record of its primary. A host that starts after the registration has lapsed knows none, and every check of the manager ended at once in that state.

What changed: after 3 s a host asks all members, and the lost replicas at their recorded addresses. One that leads is adopted. The opening of an era records the primaries, so that hosts that start later know who is gone.

Ruled out: promoting without a trusted record (a replica that nobody knows may hold the only copy); a record with an empty primary, which hosts of earlier releases could not read.

Conclusion: "no primary is known" has a way out.

--- a/internal/failover/era.go
+++ b/internal/failover/era.go
@@ -37,8 +37,9 @@
 	// openedAt is the version of the record that opens the era, 0 if there is none. Leases
 	// and switches that were recorded before it are over.
 	openedAt revision.Version
-	// terms has the groups that were confirmed when the era was opened.
-	terms map[session.Group]session.Term
+	// terms has the groups that were confirmed when the era was opened, primaries who led then.
+	terms     map[session.Group]session.Term
+	primaries map[session.Group]replicaset.EndpointID
 	// opening is set while this host opens the era.
 	opening bool
 }
@@ -52,7 +53,7 @@
 		*s = eraState{era: st.Revision.Era, known: true, openAt: now.Add(eraSettleTime), opening: s.opening}
 	}
 	if o := st.opening(); o.Version > s.openedAt {
-		s.openedAt, s.terms = o.Version, o.Terms
+		s.openedAt, s.terms, s.primaries = o.Version, o.Terms, o.Primaries
 	}
 	return true
 }
@@ -149,25 +150,37 @@
 	if st.Revision.Era != era || st.opening().Version != 0 {
 		return
 	}
-	terms := m.confirmTerms(ctx)
-	err = m.Store.OpenEra(ctx, st, terms)
+	opening := m.confirmLeads(ctx)
+	err = m.Store.OpenEra(ctx, st, opening)
 	switch {
 	case err == nil:
-		m.event("", "", "era_opened", fmt.Sprintf("era %d, %d of %d groups confirmed", era, len(terms), len(m.Engine.Groups())))
+		m.event("", "", "era_opened", fmt.Sprintf("era %d, %d of %d groups confirmed", era, len(opening.Terms), len(m.Engine.Groups())))
 	case !errors.Is(err, ErrConflict):
 		m.event("", "", "era_not_opened", err.Error())
 	}
 }
 
-// confirmTerms returns the term of each group whose members all report it.
-func (m *Manager) confirmTerms(ctx context.Context) map[session.Group]session.Term {
-	terms := make(map[session.Group]session.Term)
+// confirmLeads returns an opening with the primary and the term of each group whose members all
+// report it.
+func (m *Manager) confirmLeads(ctx context.Context) EraOpening {
+	o := EraOpening{Terms: make(map[session.Group]session.Term), Primaries: make(map[session.Group]replicaset.EndpointID)}
 	for _, set := range m.Engine.Groups() {
 		if lead, ok := m.confirmLead(ctx, set); ok {
-			terms[set.Name] = lead.Term
+			o.Terms[set.Name], o.Primaries[set.Name] = lead.Term, lead.ID
+		}
+	}
+	return o
+}
+
+// adoptPrimaries adopts the primaries that led when the era was opened, in groups of which this host
+// knows none. A group that was switched since has a record.
+func (m *Manager) adoptPrimaries(now replicaset.Instant) {
+	for g, id := range m.era.primaries {
+		set := m.Engine.Group(g)
+		if lead := set.Lead(); lead.ID == "" && lead.Version == 0 {
+			set.AdoptReportedLead(now, replicaset.Lead{ID: id, Term: m.era.terms[g]}, 0)
 		}
 	}
-	return terms
 }
 
 // confirmLead returns the primary of a group if all members report, and none is in a later term.
--- a/internal/failover/fake_test.go
+++ b/internal/failover/fake_test.go
@@ -167,14 +167,15 @@
 	return c.Membership.Revision, nil
 }
 
-func (f *fakeCluster) openEra(_ context.Context, read State, terms map[session.Group]session.Term) error {
+func (f *fakeCluster) openEra(_ context.Context, read State, opening EraOpening) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if read.Revision.Era != f.era {
 		return ErrConflict
 	}
 	f.version++
-	f.state.Openings = map[revision.Era]EraOpening{f.era: {Version: f.version, Terms: terms}}
+	opening.Version = f.version
+	f.state.Openings = map[revision.Era]EraOpening{f.era: opening}
 	return nil
 }
 
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -125,6 +125,9 @@
 	if !m.era.observe(st, m.Engine.BootTime()) {
 		return
 	}
+	if st.Whole {
+		m.adoptPrimaries(m.Engine.BootTime())
+	}
 	if m.era.era != era || m.era.openedAt != openedAt {
 		// Switches that were recorded before are over, and groups may be unconfirmed.
 		m.Engine.CheckAll()
@@ -148,9 +151,6 @@
 // there is one and none is being handled.
 func (m *Manager) checkGroup(ctx context.Context, set *replicaset.Set) {
 	lead := set.Lead()
-	if lead.ID == "" {
-		return
-	}
 	reason := m.suspicion(set, lead)
 	if reason == "" || !m.beginCheck(set.Name) {
 		return
@@ -192,6 +192,8 @@
 	reasonOrphaned = "orphaned"
 	// reasonSuperseded means that a member is in a later term than the recorded primary.
 	reasonSuperseded = "superseded"
+	// reasonUnknown means that neither the store nor a registration tells who leads.
+	reasonUnknown = "unknown"
 	// reasonUnrecorded means that the store has lost the record of the primary.
 	reasonUnrecorded = "unrecorded"
 	// reasonOverloaded means that replicas lag too far for many reads, and that the primary
@@ -202,6 +204,12 @@
 // suspicion returns the reason why a group needs a check, or "" if it needs none.
 func (m *Manager) suspicion(set *replicaset.Set, lead replicaset.Lead) string {
 	now := m.Engine.BootTime()
+	if lead.ID == "" {
+		if set.PrimaryUnknownFor(now) >= unknownAfter {
+			return reasonUnknown
+		}
+		return ""
+	}
 	if lead.Switching && set.UnreadableFor(now) < unreadableTime {
 		// Only the first switch is known to be that which promoted the member.
 		if m.abandoned(lead) || !lead.TakenOver && promotedElsewhere(set, lead) {
@@ -290,6 +298,9 @@
 	case reasonUnrecorded:
 		m.recordAgain(ctx, set)
 		return
+	case reasonUnknown:
+		m.findPrimary(ctx, set)
+		return
 	case reasonSilent, reasonStuck, reasonGone:
 		if !m.confirmFailure(ctx, set, lead, reason) {
 			return
--- a/internal/failover/record.go
+++ b/internal/failover/record.go
@@ -50,8 +50,10 @@
 	Version revision.Version
 	// Unreadable is set if the record cannot be read; the era is not open then.
 	Unreadable bool
-	// Terms has the term of each group whose members all reported it.
-	Terms map[session.Group]session.Term
+	// Terms has the term of each group whose members all reported it, and Primaries which of them
+	// led. A row of an earlier release has no primaries.
+	Terms     map[session.Group]session.Term
+	Primaries map[session.Group]replicaset.EndpointID
 }
 
 // State is the lease and the leads as recorded in the store.
@@ -123,7 +125,7 @@
 	Write func(ctx context.Context, c Change) (revision.Revision, error)
 	// OpenEra records the opening of the era of a state, unless it is recorded already,
 	// and deletes the openings of earlier eras.
-	OpenEra func(ctx context.Context, read State, terms map[session.Group]session.Term) error
+	OpenEra func(ctx context.Context, read State, opening EraOpening) error
 	// WriteMembership returns the revision of the record, or ErrConflict. It fails as Write
 	// does.
 	WriteMembership func(ctx context.Context, c MembershipChange) (revision.Revision, error)
--- a/internal/replicaset/lost.go
+++ b/internal/replicaset/lost.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/pkg/session"
@@ -106,6 +107,35 @@
 	}
 }
 
+// dropLossOf forgets that a member was lost, since it turned out to be the primary: a loss is that
+// of a copy besides the primary's.
+func (s *Set) dropLossOf(id EndpointID) {
+	maps.DeleteFunc(s.lost, func(i incarnation, _ *lostReplica) bool { return i.id == id })
+}
+
+// PresumedPrimary returns the member that led last, provided that all registered members report that
+// they do not lead: the only recorded one that is gone, other than lost replicas that are covered. It
+// returns "" if no trusted record tells.
+func (s *Set) PresumedPrimary() EndpointID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.recordTrusted {
+		return ""
+	}
+	gone := EndpointID("")
+	for i, r := range s.recorded {
+		l, lost := s.lost[i]
+		switch {
+		case !lost || r.Covered || l.covered:
+		case gone != "":
+			return ""
+		default:
+			gone = i.id
+		}
+	}
+	return gone
+}
+
 // sample sets p, a position of the primary's log from the answer to a request sent at sentAt,
 // as the cover point if there is none.
 func (l *loss) sample(sentAt Instant, p session.Point) {
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -172,6 +172,7 @@
 	old.Member, old.removedAt = m, 0
 	if s.lead.ID == "" && m.Role == Primary {
 		s.lead.ID = m.ID
+		s.dropLossOf(m.ID)
 	}
 	if changed {
 		s.notify()
@@ -381,11 +382,23 @@
 	}
 	if l.ID != s.lead.ID {
 		s.forgetProofs()
+		s.dropLossOf(l.ID)
 	}
 	s.lead = l
 	s.notify()
 }
 
+// PrimaryUnknownFor returns for how long this host has known members of the group, but not who
+// leads; 0 if it knows.
+func (s *Set) PrimaryUnknownFor(now Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lead.ID != "" || s.earlier.since == 0 {
+		return 0
+	}
+	return now.Sub(s.earlier.since)
+}
+
 // RecordProof records a proof that the primary led at the given time, for example that a
 // replica followed it and was not paused.
 func (s *Set) RecordProof(l Lead, at Instant) {
--- a/internal/replicaset/watch.go
+++ b/internal/replicaset/watch.go
@@ -32,7 +32,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lead.ID == "" {
-		return false
+		return s.earlier.since != 0
 	}
 	m, ok := s.members[s.lead.ID]
 	switch {
