A recorded primary that follows is replaced, and never restored

Cause: a switch that gave up restored the recorded primary without a look at its role; its own DEMOTE had made that a replica. And a recorded primary that is a replica by its own word was no reason to act: it is neither silent nor stuck nor gone. One that starts again under its ID as a replica is in the same state.

What changed: "deposed" is a reason to replace a primary. In such a switch, or in one that takes over, the old primary counts as a replica, and it is not restored while it follows. Each switch records a bound of what was acknowledged: the highest position of a replica when no host could acknowledge any more. A switch that takes over promotes a replica that has reached it, whoever is gone; the demoted primary, with the log that it led with, has everything as well.

Ruled out: relying on a promote call for the demoted primary, which the platform may take as a call for the present one; promoting the other replica without the bound, as the lost one may have been ahead of it.

The package comment lists the states.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -82,6 +82,7 @@
 		return replicaset.Status{}, fmt.Errorf("control of endpoint %s: %w", m.ID, errNoReport)
 	}
 	g.RecordReport(m.ID, out[0].Report)
+	g.RecordRole(e.BootTime(), m.ID, out[0].Report.Role)
 	g.RecordWord(m.ID, out[0].Report, sentAt, e.BootTime())
 	if op.Kind == OpStatus {
 		e.checkPause(g, m, out[0].Report)
--- a/internal/failover/candidate.go
+++ b/internal/failover/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
 )
@@ -10,6 +11,9 @@
 // chooseCandidate returns the replica to promote, which has every acknowledged commit.
 func (r *replacement) chooseCandidate(reports map[replicaset.EndpointID]replicaset.Status) (replicaset.EndpointID, error) {
 	candidate, ok := r.mostAdvanced(reports)
+	if ok && candidate == r.old.ID {
+		candidate = r.preferSuccessor(reports)
+	}
 	if r.reason == reasonOverloaded {
 		candidate, ok = r.mostLagging(reports)
 	}
@@ -42,6 +46,22 @@
 	return best.ID, found
 }
 
+// preferSuccessor returns the replica that is next to the recorded primary, which is the most advanced
+// one, if it has every acknowledged commit as well. The platform may take a call for the recorded
+// primary as one that changes nothing.
+func (r *replacement) preferSuccessor(reports map[replicaset.EndpointID]replicaset.Status) replicaset.EndpointID {
+	others := maps.Clone(reports)
+	delete(others, r.old.ID)
+	next, ok := r.mostAdvanced(others)
+	// Acknowledged commits are backed by other members than the primary. All of these answer unless one
+	// is missing.
+	backed := r.set.MissingReplicas() == 0 && deposedHoldsAll(r.old, reports)
+	if p := reports[next].Received; ok && (backed || !p.Less(reports[r.old.ID].Received) || stopPointReached(r.old.StopPoint, others)) {
+		return next
+	}
+	return r.old.ID
+}
+
 func betterCandidate(m replicaset.Member, st replicaset.Status, best replicaset.Member, bestStatus replicaset.Status) bool {
 	if st.Received != bestStatus.Received {
 		return bestStatus.Received.Less(st.Received)
--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -34,6 +34,34 @@
 // holds a lost lease sends promote calls. A lost record of a promotion is written again by a
 // host that knows it, or found by the terms that members report.
 //
+// # States of a group
+//
+// Each state without a serving primary has a way out that needs no other fault to end, unless a second
+// member is gone (see the last row). TestEveryStateHasAWayOut walks them.
+//
+//	state                way in                                     way out
+//	unknown              no registration and no record names the    findPrimary: one that leads, or the only recorded
+//	                     primary                                    member that is gone
+//	leading              recorded, or reported by the members       silent, stuck, draining, overloaded: switchover
+//	gone                 the registration has lapsed                switchover, or finishSwitch if another one leads its term
+//	deposed              a replica by its own word: demoted by a    switchover, in which it counts as a replica
+//	                     switch or an operator, or started again
+//	superseded           a member reports a later term              finishSwitch; switchover if nobody leads it
+//	unrecorded           the store came back from a copy, or its    recordAgain, by a host that knows
+//	                     record can't be read
+//	unconfirmed          a member did not report when the era       confirm, once all report
+//	                     was opened
+//	switching            a host has claimed the switch              its outcome is recorded: the new primary, or the old one
+//	                                                                if that still leads
+//	orphaned             its deadline has passed, or its host       finishSwitch; switchover, which takes over
+//	                     started again
+//	taken over           a switch was claimed before another ended  as switching; the old primary is restored only if
+//	                                                                nobody has been promoted
+//	given way            the old primary follows, or a replica      orphaned at once; each host tries in turn
+//	                     that may have been promoted is silent
+//	held back            a replica does not answer, or a lost one   it answers or its registration lapses; another replica
+//	                     may hold the only copy of a commit         covers its commits
+//
 // # Usage
 //
 //	m := &failover.Manager{HostID: "host-1", Engine: e, Store: store, Promote: promote}
--- a/internal/failover/lease.go
+++ b/internal/failover/lease.go
@@ -37,6 +37,10 @@
 	}
 	d.Holder, d.Until = r.HostID, st.Now+leaseTime
 	r.old = st.Leads[r.set.Name]
+	if r.old.Version <= opening.Version {
+		// In a copy of the store, it may be from before later acknowledgements.
+		r.old.StopPoint = session.Point{}
+	}
 	known := r.set.Lead()
 	if known.Term > r.old.Term {
 		// The store has lost the record of the last promotion.
@@ -90,18 +94,19 @@
 }
 
 // releaseLease lets other groups be switched while this switch completes: no further
-// promote call is sent with this token. The group stays recorded as switching.
+// promote call is sent with this token. The group stays recorded as switching, with what this switch
+// has found out for one that may take over. The lease is kept while this host switches other groups.
 func (r *replacement) releaseLease(ctx context.Context) {
-	if r.hasOtherSwitches() {
-		return
-	}
-	d := r.heldLease
+	d, keep := r.heldLease, r.hasOtherSwitches()
 	d.Holder, d.Until = "", 0
-	at, err := r.Store.Write(ctx, Change{Read: r.claimed, Lease: d, Group: r.set.Name, Lead: r.recorded})
+	at, err := r.Store.Write(ctx, Change{Read: r.claimed, Lease: d, KeepLease: keep, Group: r.set.Name, Lead: r.recorded})
 	if err != nil {
 		r.event(r.set.Name, "", "duty_kept", err.Error())
 		return
 	}
-	r.heldLease.Version, r.recorded.Version = at.Version, at.Version
+	if !keep {
+		r.heldLease.Version = at.Version
+	}
+	r.recorded.Version = at.Version
 	r.set.SetLead(r.Engine.BootTime(), r.recorded)
 }
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -24,6 +24,9 @@
 	// stuckAfter is how long a primary may answer other requests, but no commits, before it
 	// is suspected and replaced.
 	stuckAfter = 500 * time.Millisecond
+	// deposedAfter is how long the recorded primary must have been a replica by its own word before it
+	// is replaced. A primary that has just been promoted is still registered as a replica.
+	deposedAfter = time.Second
 	// minReceiveGap is how long the replicas must have received nothing before the primary
 	// counts as failed.
 	minReceiveGap = 350 * time.Millisecond
@@ -192,6 +195,8 @@
 	reasonOrphaned = "orphaned"
 	// reasonSuperseded means that a member is in a later term than the recorded primary.
 	reasonSuperseded = "superseded"
+	// reasonDeposed means that the recorded primary is a replica by its own word.
+	reasonDeposed = "deposed"
 	// reasonUnknown means that neither the store nor a registration tells who leads.
 	reasonUnknown = "unknown"
 	// reasonUnrecorded means that the store has lost the record of the primary.
@@ -234,6 +239,8 @@
 		return reasonSilent
 	case stuck != 0 && now.Sub(stuck) >= stuckAfter:
 		return reasonStuck
+	case set.DeposedFor(now) >= deposedAfter:
+		return reasonDeposed
 	case set.OverloadedFor(now) >= overloadAfter && m.reliefAllowed(set):
 		return reasonOverloaded
 	}
@@ -291,7 +298,7 @@
 		return
 	}
 	switch reason {
-	case reasonSuperseded:
+	case reasonSuperseded, reasonDeposed:
 		if m.finishSwitch(ctx, set, lead) || !m.confirmFailure(ctx, set, lead, reason) {
 			return
 		}
@@ -359,12 +366,12 @@
 		case res.primaryAnswers && reason != reasonStuck, res.primaryAnswers && !res.primaryAhead():
 			m.markAlive(set.Name)
 			return false
-		case reason == reasonStuck && stuck == 0:
+		case reason == reasonStuck && stuck == 0, reason == reasonDeposed && !res.primaryFollows(lead):
 			return false
 		case reason == reasonSilent && silent == 0:
 			return false
 		}
-		overdue := reason == reasonGone || reason == reasonSuperseded || reason == reasonSilent && now.Sub(silent) >= deadAfter ||
+		overdue := reason == reasonGone || reason == reasonSuperseded || reason == reasonDeposed || reason == reasonSilent && now.Sub(silent) >= deadAfter ||
 			reason == reasonStuck && now.Sub(stuck) >= stuckAfter
 		if overdue && gap >= minReceiveGap && m.canComplete(set, lead, res) {
 			return true
--- a/internal/failover/membership.go
+++ b/internal/failover/membership.go
@@ -173,7 +173,7 @@
 // missingReplicas returns how many lost replicas may hold the only copy of an acknowledged
 // commit besides that of the primary, which is lead if no later promotion took place.
 func (m *Manager) missingReplicas(set *replicaset.Set, lead replicaset.Lead, reports map[replicaset.EndpointID]replicaset.Status) int {
-	if !m.Engine.Policy(set.Name).Synchronous {
+	if !m.Engine.Policy(set.Name).Synchronous || deposedHoldsAll(lead, reports) || stopPointReached(lead.StopPoint, reports) {
 		return 0
 	}
 	n := set.MissingReplicas()
@@ -183,6 +183,34 @@
 	return n
 }
 
+// deposedHoldsAll reports whether the recorded primary answers as a replica and still has the log
+// that it led with, so that it has every commit that was acknowledged.
+func deposedHoldsAll(lead replicaset.Lead, reports map[replicaset.EndpointID]replicaset.Status) bool {
+	st, ok := reports[lead.ID]
+	if !ok || st.Role != replicaset.Replica || lead.Term == 0 || st.Term != lead.Term {
+		return false
+	}
+	for _, o := range reports {
+		if o.Term > lead.Term || st.Received.Less(o.Received) {
+			return false
+		}
+	}
+	return true
+}
+
+// stopPointReached reports whether a replica has everything that was acknowledged before the switch.
+func stopPointReached(p session.Point, reports map[replicaset.EndpointID]replicaset.Status) bool {
+	if p == (session.Point{}) {
+		return false
+	}
+	for _, st := range reports {
+		if st.Role == replicaset.Replica && !st.Received.Less(p) {
+			return true
+		}
+	}
+	return false
+}
+
 // primaryIsLost reports whether one of the lost members led the group last: the recorded
 // primary follows a later one, and no member that reports is a primary.
 func primaryIsLost(lead replicaset.Lead, reports map[replicaset.EndpointID]replicaset.Status) bool {
--- a/internal/failover/outcome.go
+++ b/internal/failover/outcome.go
@@ -5,6 +5,7 @@
 
 	"github.com/cumintrestle/cumintrestle/internal/pause"
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
+	"github.com/cumintrestle/cumintrestle/pkg/session"
 )
 
 // recordOutcome records who leads and releases the lease. It retries while the lease lasts,
@@ -64,7 +65,7 @@
 	}
 	lead.Switching, lead.TakenOver, lead.Token, lead.Holder, lead.Until = false, false, r.heldLease.Token, "", 0
 	rec := st.Leads[r.set.Name]
-	lead.Version, lead.PauseTerm = rec.Version, max(rec.PauseTerm, r.recorded.PauseTerm)
+	lead.Version, lead.PauseTerm, lead.StopPoint = rec.Version, max(rec.PauseTerm, r.recorded.PauseTerm), session.Point{}
 	at, err := r.Store.Write(ctx, Change{Read: st, Lease: d, KeepLease: !ownLease, Group: r.set.Name, Lead: lead})
 	if err != nil {
 		return err
--- a/internal/failover/survey.go
+++ b/internal/failover/survey.go
@@ -48,6 +48,11 @@
 	return false
 }
 
+// primaryFollows reports whether the recorded primary answers as a replica.
+func (s surveyResult) primaryFollows(lead replicaset.Lead) bool {
+	return s.reports[lead.ID].Role == replicaset.Replica
+}
+
 // ahead reports whether one of the replicas has received more than p, or may have.
 func ahead(replicas map[replicaset.EndpointID]unregistered, p session.Point) bool {
 	for _, o := range replicas {
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -64,8 +64,9 @@
 	// suspected is the revision of the group's record when the primary was suspected.
 	suspected revision.Revision
 	old       replicaset.Lead
-	// oldFollows is set if the recorded primary is a replica by now: a promotion that is
-	// not recorded has made it one, and it may hold the only copy of a commit.
+	// oldFollows is set if the recorded primary is a replica by now: a promotion that is not recorded
+	// has made it one, or a DEMOTE of a switch whose promotion did not come about. It may hold the
+	// only copy of a commit.
 	oldFollows bool
 	heldLease  Lease
 	leaseStart replicaset.Instant
@@ -113,7 +114,9 @@
 		case r.promoteSent:
 			m.noteCalls(set.Name)
 		case r.recorded.TakenOver && !r.nonePromoted(ctx):
-			r.giveWay(ctx)
+			r.giveWay(ctx, "an earlier switch may have promoted a replica that does not answer")
+		case r.oldFollows:
+			r.giveWay(ctx, "it is a replica by now")
 		default:
 			r.conclude(ctx, r.old, r.replicas())
 		}
@@ -166,6 +169,7 @@
 	if err != nil {
 		return replicaset.Lead{}, err
 	}
+	r.noteStopPoint(reports)
 	if !r.Engine.Policy(r.set.Name).Synchronous {
 		r.awaitProofExpiry(ctx, pausedAt)
 	}
@@ -230,14 +234,30 @@
 	r.awaitProofExpiry(ctx, since)
 }
 
-// checkOld finds out whether the recorded primary is a replica by now.
+// checkOld finds out whether the recorded primary is a replica by now, if there is a reason to think
+// so: its own word, a later term, or an earlier switch that may have demoted it.
 func (r *replacement) checkOld(ctx context.Context) {
 	old, ok := r.set.Member(r.old.ID)
-	if !ok || !r.set.Superseded() {
+	if !ok || r.reason != reasonDeposed && !r.recorded.TakenOver && !r.set.Superseded() {
 		return
 	}
 	st, ok := r.controlAll(ctx, []replicaset.Member{old}, engine.Op{Kind: engine.OpStatus})[old.ID]
-	r.oldFollows = ok && st.Role == replicaset.Replica && st.Term > r.old.Term
+	r.oldFollows = ok && st.Role == replicaset.Replica && st.Term >= r.old.Term
+}
+
+// noteStopPoint notes the bound of what can have been acknowledged, from what the replicas reported
+// once nothing could be acknowledged any more. That of an earlier switch, which this one took over,
+// stays: fewer replicas may answer now.
+func (r *replacement) noteStopPoint(reports map[replicaset.EndpointID]replicaset.Status) {
+	if r.recorded.StopPoint != (session.Point{}) || !r.Engine.Policy(r.set.Name).Synchronous {
+		return
+	}
+	for _, st := range reports {
+		r.recorded.StopPoint = r.recorded.StopPoint.Max(st.Received)
+	}
+	for _, o := range r.unregistered {
+		r.recorded.StopPoint = r.recorded.StopPoint.Max(o.Received)
+	}
 }
 
 // replicas returns all members except the old primary.
--- a/internal/failover/takeover.go
+++ b/internal/failover/takeover.go
@@ -51,11 +51,11 @@
 	return r.allAnswered && !promoted
 }
 
-// giveWay ends a switch that took over from another one and could not find out whether that one
-// had promoted a replica. The group stays recorded as switching, for another host to try: one that
-// does not reach the replica keeps failing.
-func (r *replacement) giveWay(ctx context.Context) {
-	r.event(r.set.Name, r.old.ID, "old_primary_not_restored", "an earlier switch may have promoted a replica that does not answer")
+// giveWay ends a switch that must not restore the old primary: it no longer leads, or an earlier switch
+// may have promoted a replica. The group stays recorded as switching, for another host to try: one that
+// does not reach a replica keeps failing.
+func (r *replacement) giveWay(ctx context.Context, reason string) {
+	r.event(r.set.Name, r.old.ID, "old_primary_not_restored", reason)
 	r.recorded.Until = 0
 	r.releaseLease(ctx)
 	pause.For(ctx, giveWayTime)
--- a/internal/failover/unknown.go
+++ b/internal/failover/unknown.go
@@ -22,13 +22,13 @@
 
 // findPrimary looks for the primary of a group that neither a registration nor the store names, and
 // adopts it. It may be a member that is cut off from the store. If none leads, it is the one that
-// the membership record names and that is gone; the group is then checked like any other whose
-// primary is gone.
+// the membership record names and that is gone or, if none is, the one with most of the log; the
+// group is then checked like any other whose primary is gone or deposed.
 func (m *Manager) findPrimary(ctx context.Context, set *replicaset.Set) {
 	members, reports := set.Members(), m.askAllKnown(ctx, set)
 	found := reportedPrimary(reports)
-	if found.ID == "" && len(members) > 0 && allReport(members, reports) {
-		found.ID = set.PresumedPrimary()
+	if found.ID == "" && len(members) > 0 && len(unanswered(members, reports)) == 0 {
+		found.ID = presumedPrimary(set, reports)
 	}
 	if found.ID == "" {
 		m.event(set.Name, "", "primary_unknown", fmt.Sprintf("%d members, reports %v, %d lost replicas may hold commits", len(members), reports, set.MissingReplicas()))
@@ -72,6 +72,17 @@
 	return lead
 }
 
-func allReport(members []replicaset.Member, reports map[replicaset.EndpointID]replicaset.Status) bool {
-	return len(unanswered(members, reports)) == 0
+// presumedPrimary returns the member that led last, as far as the membership record tells.
+func presumedPrimary(set *replicaset.Set, reports map[replicaset.EndpointID]replicaset.Status) replicaset.EndpointID {
+	id, ok := set.PresumedPrimary()
+	if !ok || id != "" {
+		return id
+	}
+	var furthest session.Point
+	for o, st := range reports {
+		if id == "" || furthest.Less(st.Received) {
+			id, furthest = o, st.Received
+		}
+	}
+	return id
 }
--- a/internal/replicaset/lost.go
+++ b/internal/replicaset/lost.go
@@ -115,25 +115,25 @@
 
 // PresumedPrimary returns the member that led last, provided that all registered members report that
 // they do not lead: the only recorded one that is gone, other than lost replicas that are covered. It
-// returns "" if no trusted record tells.
-func (s *Set) PresumedPrimary() EndpointID {
+// is "" if none is gone, so that one of the registered members led. ok is false if no trusted record
+// tells, or if it leaves more than one.
+func (s *Set) PresumedPrimary() (gone EndpointID, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.recordTrusted {
-		return ""
+		return "", false
 	}
-	gone := EndpointID("")
 	for i, r := range s.recorded {
 		l, lost := s.lost[i]
 		switch {
 		case !lost || r.Covered || l.covered:
 		case gone != "":
-			return ""
+			return "", false
 		default:
 			gone = i.id
 		}
 	}
-	return gone
+	return gone, true
 }
 
 // sample sets p, a position of the primary's log from the answer to a request sent at sentAt,
--- a/internal/replicaset/member.go
+++ b/internal/replicaset/member.go
@@ -103,6 +103,10 @@
 	// PauseTerm is the lowest term that no switch of the group has paused replicas for. A pause
 	// that arrives late is told from that of a later switch by its term.
 	PauseTerm session.Term
+	// StopPoint is an upper bound of the commits that were acknowledged before the switch: the
+	// highest position of a replica when no host could acknowledge any more. It is zero until one
+	// is known.
+	StopPoint session.Point
 	// Era and Version are the revision of the record in the store, zero if there is none.
 	Era     revision.Era
 	Version revision.Version
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -116,7 +116,10 @@
 	blind bool
 	// stuckSince is when the primary stopped answering commits, 0 while it answers them.
 	stuckSince Instant
-	changed    chan struct{}
+	// deposedSince is when this host first heard, from its registration or its reports, that the
+	// recorded primary is a replica; 0 if the last word is that it leads.
+	deposedSince Instant
+	changed      chan struct{}
 }
 
 // New returns an empty group as seen by a host in the given zone.
@@ -174,6 +177,9 @@
 		s.lead.ID = m.ID
 		s.dropLossOf(m.ID)
 	}
+	if changed || !ok {
+		s.noteRole(now, m.ID, m.Role)
+	}
 	if changed {
 		s.notify()
 	}
@@ -279,12 +285,52 @@
 		s.lead = l
 		s.replicatedPoint = session.Point{}
 		s.dropLosses(now)
+		s.deposedSince = 0
 	}
 	s.lead = l
+	s.noteRegisteredRole(now)
 	s.notify()
 	return true
 }
 
+// noteRole notes the role of a member by its registration or its report.
+func (s *Set) noteRole(now Instant, id EndpointID, r Role) {
+	switch {
+	case id != s.lead.ID || r == Unknown:
+	case r == Primary:
+		s.deposedSince = 0
+	case s.deposedSince == 0:
+		s.deposedSince = now
+		s.report(WorkChanged)
+	}
+}
+
+// noteRegisteredRole notes the role that the primary has registered with. A new primary registers
+// anew a little after its promotion.
+func (s *Set) noteRegisteredRole(now Instant) {
+	if m, ok := s.members[s.lead.ID]; ok {
+		s.noteRole(now, m.ID, m.Role)
+	}
+}
+
+// RecordRole records the role in a member's report.
+func (s *Set) RecordRole(now Instant, id EndpointID, r Role) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteRole(now, id, r)
+}
+
+// DeposedFor returns for how long the recorded primary has been a replica by its own word, 0 if it
+// is not.
+func (s *Set) DeposedFor(now Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deposedSince == 0 {
+		return 0
+	}
+	return now.Sub(s.deposedSince)
+}
+
 // RecordUnreadable records that the store's leadership record of this group cannot be read.
 // The known lead stays.
 func (s *Set) RecordUnreadable(now Instant) {
@@ -383,8 +429,10 @@
 	if l.ID != s.lead.ID {
 		s.forgetProofs()
 		s.dropLossOf(l.ID)
+		s.deposedSince = 0
 	}
 	s.lead = l
+	s.noteRegisteredRole(now)
 	s.notify()
 }
 
--- a/internal/replicaset/watch.go
+++ b/internal/replicaset/watch.go
@@ -42,7 +42,7 @@
 		return true
 	case s.lead.Version != 0 && s.lead.Term != 0 && s.reportedTerm > s.lead.Term:
 		return true
-	case m.failingSince != 0 || m.unansweredSince != 0 || s.stuckSince != 0:
+	case m.failingSince != 0 || m.unansweredSince != 0 || s.stuckSince != 0 || s.deposedSince != 0:
 		return true
 	}
 	return m.overloadedAt != 0 && now.Sub(m.overloadedAt) <= maxOverloadGap
