A switch without a known term looks for the member that leads it

Cause: the term to end was taken from any member's report if none was known. If a promotion that is not recorded had taken effect, that was the term of the new primary, so that it did not count as promoted, and a third member was promoted without its log.

What changed: if another member leads the term, an earlier one is to end.

Ruled out: that the state is out of reach: a promotion is recorded before its call, but an operator can order one as well, and the store can lose the record.

TestTokenAfterRestore needs a second promotion; the first promoted replica is recorded now instead, unless it has been demoted, which the test says now.

--- a/internal/failover/era_test.go
+++ b/internal/failover/era_test.go
@@ -38,6 +38,8 @@
 	first.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
 	cluster.restore(copied, version)
 	cluster.state.Openings = map[revision.Era]EraOpening{1: {Version: 1}}
+	// The promoted replica has been demoted since; while it leads, the second host would record it.
+	cluster.setReport("b", replicaset.Status{Role: replicaset.Replica, Term: 2, Received: at(1, 9)}, false)
 	second, set := cluster.manager(t)
 	second.HostID = "host-2"
 	second.switchover(context.Background(), set, set.Lead().Revision(), reasonSilent)
--- a/internal/failover/states_test.go
+++ b/internal/failover/states_test.go
@@ -46,7 +46,7 @@
 )
 
 // TestEveryStateHasAWayOut guards against states without a serving primary that nobody leaves: unless a
-// second member is gone, a group gets one without a further fault to end.
+// second member is gone, a group gets one without a further fault to end, with all that b has received.
 func TestEveryStateHasAWayOut(t *testing.T) {
 	for record, lead := range recordStates {
 		for primary, setPrimary := range primaryStates {
@@ -118,6 +118,9 @@
 	if !served {
 		t.Errorf("after a minute the lead is %+v, and that endpoint reports %s", lead, cluster.report(lead.ID))
 	}
+	if got := cluster.report(lead.ID).Received; got.Less(at(1, 9)) {
+		t.Errorf("%s leads with the log up to %s, and commits up to %s were acknowledged", lead.ID, got, at(1, 9))
+	}
 }
 
 func (f *fakeCluster) isSilent(id replicaset.EndpointID) bool {
--- a/internal/failover/switch.go
+++ b/internal/failover/switch.go
@@ -128,7 +128,8 @@
 
 // currentTerm returns the term that is to end. It asks the members if the term is not
 // known, but not a primary that is silent. Their term may belong to another primary unless the
-// store shows that no promotion was recorded.
+// store shows that no promotion was recorded. If another member leads it, the term to end is an
+// earlier one.
 func (r *replacement) currentTerm(ctx context.Context) session.Term {
 	lead := r.set.Lead()
 	if lead.Term != 0 {
@@ -137,11 +138,11 @@
 	members := slices.DeleteFunc(r.set.Members(), func(m replicaset.Member) bool {
 		return m.ID == lead.ID && r.reason == reasonSilent
 	})
-	term := lead.Term
-	for _, st := range r.controlAll(ctx, members, engine.Op{Kind: engine.OpStatus}) {
-		term = max(term, st.Term)
+	found := reportedPrimary(r.controlAll(ctx, members, engine.Op{Kind: engine.OpStatus}))
+	if found.ID != "" && found.ID != lead.ID {
+		return found.Term - 1
 	}
-	return term
+	return found.Term
 }
 
 // replacePrimary promotes another member, unless a promotion by another host has taken
