Lost replicas are not waited for once the primary is gone as well

Cause: a host without a trusted record counts one more replica as missing until a replica reaches a later position of the primary, or a host that knows writes the record. Without a primary, and with all hosts new, neither happens.

What changed: once no primary has been registered for 8 s, or only a deposed one without the log, as far as the host has heard from the store meanwhile, the replica with most of the log is promoted. Lost replicas that still run are asked all the while. A host that has acknowledged more refuses.

Ruled out: the former time-out from the loss of a replica on, beside a primary that lives; not waiting at all, as a crashed endpoint comes back with its log.

Evidence: TestEveryStateHasAWayOut with a second member gone or silent (300 states), TestMissingReplicaIsAwaited, TestPrimaryGoneFor.

--- a/internal/failover/doc.go
+++ b/internal/failover/doc.go
@@ -36,8 +36,9 @@
 //
 // # States of a group
 //
-// Each state without a serving primary has a way out that needs no other fault to end, unless a second
-// member is gone (see the last row). TestEveryStateHasAWayOut walks them.
+// Each state without a serving primary has a way out that needs no other fault to end, except that a
+// host promotes no replica that is known to lack an acknowledged commit. TestEveryStateHasAWayOut
+// walks them.
 //
 //	state                way in                                     way out
 //	unknown              no registration and no record names the    findPrimary: one that leads, or the only recorded
@@ -60,7 +61,10 @@
 //	given way            the old primary follows, or a replica      orphaned at once; each host tries in turn
 //	                     that may have been promoted is silent
 //	held back            a replica does not answer, or a lost one   it answers or its registration lapses; another replica
-//	                     may hold the only copy of a commit         covers its commits
+//	                     may hold the only copy of a commit         covers its commits; the primary has been gone, too, for
+//	                                                                missingTimeout
+//	held back for good   all replicas that are left lack a commit   the primary or a lost replica comes back
+//	                     that this host has acknowledged
 //
 // # Usage
 //
--- a/internal/failover/manager.go
+++ b/internal/failover/manager.go
@@ -358,7 +358,7 @@
 		now := m.Engine.BootTime()
 		m.event(set.Name, lead.ID, "survey_"+reason, res.String())
 		switch {
-		case len(res.received) == 0:
+		case len(res.received) == 0 && !res.primaryFollows(lead):
 			return false
 		case reason == reasonGone && res.leadsTerm(lead.Term):
 			m.finishSwitch(ctx, set, lead)
@@ -395,6 +395,9 @@
 	}
 	missing := m.missingReplicas(set, lead, res.reports)
 	if len(res.received) == replicas && missing == 0 && !res.behindUnregistered() {
+		if n := set.MissingReplicas(); n > 0 && m.gaveUpMissing(set) {
+			m.event(set.Name, lead.ID, "lost_replicas_given_up", fmt.Sprintf("%d, after %s without a primary", n, set.PrimaryGoneFor(m.Engine.BootTime())))
+		}
 		return true
 	}
 	m.event(set.Name, lead.ID, "switch_held_back", fmt.Sprintf("%d of %d replicas answered, %d lost replicas may hold commits, unregistered: %v",
--- a/internal/failover/membership.go
+++ b/internal/failover/membership.go
@@ -23,6 +23,10 @@
 	// coveringHosts is how many of the ranked hosts query the endpoints of a group to find
 	// out whether a loss is covered.
 	coveringHosts = 2
+	// missingTimeout is how long a group waits for lost replicas after its primary is gone as well. It
+	// is above the time for which an endpoint that has crashed, or is cut off from the store, is away,
+	// and leaves time for a switch within the 12 s in which a deployment has to recover.
+	missingTimeout = 8 * time.Second
 )
 
 // MembershipChange replaces the membership record of a group. It applies only if the record
@@ -171,9 +175,12 @@
 }
 
 // missingReplicas returns how many lost replicas may hold the only copy of an acknowledged
-// commit besides that of the primary, which is lead if no later promotion took place.
+// commit besides that of the primary, which is lead if no later promotion took place. None is waited
+// for any more once the primary has been gone for missingTimeout: nobody is left that could cover
+// their loss. Those that still run are asked all the while, and are not passed over.
 func (m *Manager) missingReplicas(set *replicaset.Set, lead replicaset.Lead, reports map[replicaset.EndpointID]replicaset.Status) int {
-	if !m.Engine.Policy(set.Name).Synchronous || deposedHoldsAll(lead, reports) || stopPointReached(lead.StopPoint, reports) {
+	if !m.Engine.Policy(set.Name).Synchronous || deposedHoldsAll(lead, reports) || stopPointReached(lead.StopPoint, reports) ||
+		m.gaveUpMissing(set) {
 		return 0
 	}
 	n := set.MissingReplicas()
@@ -183,6 +190,11 @@
 	return n
 }
 
+// gaveUpMissing reports whether lost replicas are not waited for any more.
+func (m *Manager) gaveUpMissing(set *replicaset.Set) bool {
+	return set.PrimaryGoneFor(m.Engine.BootTime()) >= missingTimeout
+}
+
 // deposedHoldsAll reports whether the recorded primary answers as a replica and still has the log
 // that it led with, so that it has every commit that was acknowledged.
 func deposedHoldsAll(lead replicaset.Lead, reports map[replicaset.EndpointID]replicaset.Status) bool {
--- a/internal/failover/unknown.go
+++ b/internal/failover/unknown.go
@@ -28,7 +28,7 @@
 	members, reports := set.Members(), m.askAllKnown(ctx, set)
 	found := reportedPrimary(reports)
 	if found.ID == "" && len(members) > 0 && len(unanswered(members, reports)) == 0 {
-		found.ID = presumedPrimary(set, reports)
+		found.ID = presumedPrimary(set, reports, m.gaveUpMissing(set))
 	}
 	if found.ID == "" {
 		m.event(set.Name, "", "primary_unknown", fmt.Sprintf("%d members, reports %v, %d lost replicas may hold commits", len(members), reports, set.MissingReplicas()))
@@ -72,16 +72,17 @@
 	return lead
 }
 
-// presumedPrimary returns the member that led last, as far as the membership record tells.
-func presumedPrimary(set *replicaset.Set, reports map[replicaset.EndpointID]replicaset.Status) replicaset.EndpointID {
+// presumedPrimary returns the member that led last, as far as the membership record tells. If none of
+// those that are gone is waited for, it is the one with most of the log.
+func presumedPrimary(set *replicaset.Set, reports map[replicaset.EndpointID]replicaset.Status, gaveUp bool) replicaset.EndpointID {
 	id, ok := set.PresumedPrimary()
-	if !ok || id != "" {
+	if id != "" || !ok && !gaveUp {
 		return id
 	}
-	var furthest session.Point
 	for o, st := range reports {
-		if id == "" || furthest.Less(st.Received) {
-			id, furthest = o, st.Received
+		best := reports[id]
+		if id == "" || best.Received.Less(st.Received) || best.Received == st.Received && best.Term < st.Term {
+			id = o
 		}
 	}
 	return id
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -119,7 +119,9 @@
 	// deposedSince is when this host first heard, from its registration or its reports, that the
 	// recorded primary is a replica; 0 if the last word is that it leads.
 	deposedSince Instant
-	changed      chan struct{}
+	// primaryGoneSince is when PrimaryGoneFor first found none, 0 if there is a primary.
+	primaryGoneSince Instant
+	changed          chan struct{}
 }
 
 // New returns an empty group as seen by a host in the given zone.
@@ -293,6 +295,22 @@
 	return true
 }
 
+// PrimaryGoneFor returns for how long no primary has been registered, or a deposed one only, as far as
+// this host has heard from the store meanwhile. The time counts from the first call, and anew after each gap: registrations
+// that lapsed while the store was down come back after its return.
+func (s *Set) PrimaryGoneFor(now Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, registered := s.members[s.lead.ID]; registered && s.deposedSince == 0 || s.blind {
+		s.primaryGoneSince = 0
+		return 0
+	}
+	if s.primaryGoneSince == 0 {
+		s.primaryGoneSince = now
+	}
+	return now.Sub(s.primaryGoneSince)
+}
+
 // noteRole notes the role of a member by its registration or its report.
 func (s *Set) noteRole(now Instant, id EndpointID, r Role) {
 	switch {
