A replica that reports less of its log than before counts as lost

Cause: that a log was lost was known from the start time in an entry only.

What changed: a host keeps the highest position and term that it has seen of each incarnation. Within a term a log only grows; a report of less, to a request that was sent later, makes the replica a lost one, which backs no commit until it registers anew or another primary leads.

Ruled out: connections that break as a sign (they are reset without a restart); positions of an earlier term (a promotion may have rolled them back). Not built: asking other hosts for what they have acknowledged.

Conclusion: one line of defence of two; a host that never saw the log is open.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -81,6 +81,9 @@
 	if out[0].Report.Role == replicaset.Unknown {
 		return replicaset.Status{}, fmt.Errorf("control of endpoint %s: %w", m.ID, errNoReport)
 	}
+	if g.CheckLog(m.ID, out[0].Report, sentAt, e.BootTime()) {
+		e.emit(Event{Group: m.Group, Endpoint: m.ID, Decision: "log_lost", Reason: out[0].Report.String()})
+	}
 	g.RecordReport(m.ID, out[0].Report)
 	g.RecordRole(e.BootTime(), m.ID, out[0].Report.Role)
 	g.RecordWord(m.ID, out[0].Report, sentAt, e.BootTime())
--- a/internal/failover/membership_test.go
+++ b/internal/failover/membership_test.go
@@ -151,7 +151,7 @@
 	cluster.eventually(t, 3, 0)
 
 	cluster.mu.Lock()
-	cluster.setLag("a", 0, at(1, 5))
+	cluster.setLag("p", 0, at(1, 12))
 	cluster.mu.Unlock()
 	now := m.Engine.BootTime()
 	set.Deregister(now.Add(-2500*time.Millisecond), "b")
--- a/internal/failover/missing_test.go
+++ b/internal/failover/missing_test.go
@@ -69,3 +69,32 @@
 		})
 	}
 }
+
+// TestReplicaWithoutItsLogIsMissing guards against lost commits: the only replica that had received them
+// started again with nothing under its old entry, and its answers counted as those of the one before.
+func TestReplicaWithoutItsLogIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newFakeCluster()
+		m, set := cluster.manager(t)
+		lead := cluster.knowLead(m, set)
+		cluster.observe(m)
+		m.survey(t.Context(), set, lead)
+		time.Sleep(2 * time.Second)
+		cluster.setReport("b", replicaset.Status{Role: replicaset.Replica, Term: 1}, false)
+		cluster.setReport("p", cluster.report("p"), true)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		for ctx.Err() == nil {
+			set.RecordFailure(m.Engine.BootTime(), "p")
+			time.Sleep(100 * time.Millisecond)
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		if got := cluster.promotions(); len(got) > 0 {
+			t.Errorf("%v is promoted, and lacks what only b had received", got)
+		}
+	})
+}
--- a/internal/replicaset/lost.go
+++ b/internal/replicaset/lost.go
@@ -101,6 +101,9 @@
 // acknowledged before.
 func (s *Set) dropLosses(now Instant) {
 	s.lost = nil
+	for _, m := range s.members {
+		m.log = seenLog{}
+	}
 	s.findLosses(now, s.recorded)
 	for _, l := range s.lost {
 		l.covered = true
@@ -172,6 +175,9 @@
 // the member is a registered replica, and the membership record names it if there is a trusted one.
 // A host that has not heard of the registration finds the member in the record.
 func (s *Set) isElector(m *memberState) bool {
+	if m.log.lost {
+		return false
+	}
 	if s.recordTrusted {
 		return s.isWitness(m)
 	}
--- a/internal/replicaset/route.go
+++ b/internal/replicaset/route.go
@@ -282,6 +282,7 @@
 	if m.behindBackoff != 0 && !m.position.Less(m.lackedPoint) {
 		m.behindBackoff, m.behindUntil = 0, 0
 	}
+	m.log.see(now, p.Term, p)
 	if s.isElector(m) {
 		s.cover(p)
 		s.witnessPosition(now, m, p)
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -43,6 +43,8 @@
 	latencyAt    Instant
 	inFlight     int
 	position     session.Point
+	// log is what this host has seen of the log of this incarnation.
+	log seenLog
 	// lackedPoint is the position that the member lacked when it was last tried. Reads that
 	// need it avoid the member until behindUntil.
 	lackedPoint   session.Point
@@ -160,7 +162,9 @@
 	}
 	if old.Member != m || old.absentAt == 0 {
 		old.absentAt = 0
-		delete(s.lost, m.incarnation())
+		if !ok || old.Started != m.Started || !old.log.lost {
+			delete(s.lost, m.incarnation())
+		}
 	}
 	if !ok || old.Started != m.Started {
 		old.registeredAt = now
@@ -168,6 +172,7 @@
 	if old.Started != m.Started {
 		_, old.recorded = s.recorded[m.incarnation()]
 		old.position, old.behindBackoff, old.behindUntil = session.Point{}, 0, 0
+		old.log = seenLog{}
 		old.avoidUntil = 0
 	}
 	if m.Draining && !old.Draining {
