Session state is copied out of the messages that it came in

Cause: the name and value of a SET, the body of a PREPARE and the database of a START were parts of the message's string, so that a session kept whole messages of up to 1 MiB for values of a byte, which the budget was not charged for.

What changed: what a session keeps is copied. The PostgreSQL front copies its request ID, and charges parameter types.

Ruled out: charging whole messages for a session's life, a lower bound for request IDs.

--- a/internal/caller/intake.go
+++ b/internal/caller/intake.go
@@ -181,7 +181,7 @@
 		if !ok {
 			continue
 		}
-		n := max(preparedSize(p.Name, p.Query), c.sizeOf(p.Name))
+		n := max(preparedSize(p.Name, p.Query, p.ParameterOIDs), c.sizeOf(p.Name))
 		if _, err := c.budget.SetNamed(p.Name, n); err != nil {
 			c.settlePrepared(b)
 			return result.New(result.QueueFull, "no memory for a prepared statement of %d bytes", len(p.Query))
@@ -210,7 +210,10 @@
 	if !ok {
 		return 0
 	}
-	return preparedSize(name, p.query)
+	return preparedSize(name, p.query, p.oids)
 }
 
-func preparedSize(name, query string) int { return len(name) + len(query) + messageCost }
+func preparedSize(name, query string, oids []uint32) int {
+	const oidBytes = 4
+	return len(name) + len(query) + oidBytes*len(oids) + messageCost
+}
--- a/internal/caller/params.go
+++ b/internal/caller/params.go
@@ -46,7 +46,8 @@
 		if len(value) > maxRequestIDBytes {
 			return result.New(result.SettingInvalid, "%s: %d bytes, at most %d", name, len(value), maxRequestIDBytes)
 		}
-		p.requestID = value
+		// The value is a part of the request, which has to be freed.
+		p.requestID = strings.Clone(value)
 	case paramMaxReadAge:
 		ms, err := strconv.ParseInt(value, 10, 64)
 		if err != nil || ms < 0 {
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -86,21 +86,23 @@
 	EndLoan   func()
 
 	// account is the account whose statements the connection may run.
-	account   session.Account
-	gate      *gate
-	bootTime  func() replicaset.Instant
-	state     TxState
-	values    map[string]string
-	prepared  map[PreparedBody]string
+	account  session.Account
+	gate     *gate
+	bootTime func() replicaset.Instant
+	state    TxState
+	values   map[string]string
+	prepared map[PreparedBody]string
+	// stateSize is what values and prepared take, in bytes.
+	stateSize int
 	broken    bool
 	idleSince time.Time
 }
 
 // reusable reports whether another session may use the connection: the endpoint has
-// answered everything that it was sent, the connection is in step, and no transaction was
-// open in its last answer.
+// answered everything that it was sent, the connection is in step, no transaction was
+// open in its last answer, and it does not keep much for the session that had it.
 func (c *Conn) reusable() bool {
-	return !c.broken && c.state == Idle && (c.InStep == nil || c.InStep())
+	return !c.broken && c.state == Idle && c.stateSize <= maxKeptState && (c.InStep == nil || c.InStep())
 }
 
 // setupOps returns the requests that give the connection the session's values
@@ -150,16 +152,21 @@
 func (c *Conn) noteSetup(op Op) {
 	switch op.Kind {
 	case OpReset:
-		c.values, c.prepared = nil, nil
+		c.values, c.prepared, c.stateSize = nil, nil, 0
 	case OpSet:
 		if c.values == nil {
 			c.values = make(map[string]string)
 		}
+		if old, ok := c.values[op.Name]; ok {
+			c.stateSize -= StateOverhead + len(op.Name) + len(old)
+		}
 		c.values[op.Name] = op.Value
+		c.stateSize += StateOverhead + len(op.Name) + len(op.Value)
 	case OpPrepare:
 		if c.prepared == nil {
 			c.prepared = make(map[PreparedBody]string)
 		}
 		c.prepared[op.Body] = op.Name
+		c.stateSize += StateOverhead + len(op.Body.Text)
 	}
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"maps"
+	"strings"
 	"time"
 
 	"github.com/cumintrestle/cumintrestle/internal/replicaset"
@@ -41,24 +41,6 @@
 	progress progress
 }
 
-// maxSessionState bounds the names, values and prepared statements of one session, in bytes.
-// They are sent to a lending host in one message.
-const maxSessionState = 1 << 20
-
-// grow adds the size of a named part of the session's state, less that of the one it replaces.
-// It returns false if the state would be too large.
-func (s *CallerSession) grow(name string, size, replaced int, known bool) bool {
-	total := s.stateSize + size - replaced
-	if !known {
-		total += len(name)
-	}
-	if total > maxSessionState {
-		return false
-	}
-	s.stateSize = total
-	return true
-}
-
 // transaction is an open transaction. Its first statement acquires the
 // connection.
 type transaction struct {
@@ -79,7 +61,8 @@
 	if d == nil {
 		return nil, Outcome{Code: Busy, Reason: "no configuration yet"}
 	}
-	s := &CallerSession{e: e, database: database, arrivedAt: e.Now(), progress: newProgress()}
+	// The database's name may be part of a message that has to be freed.
+	s := &CallerSession{e: e, database: strings.Clone(database), arrivedAt: e.Now(), progress: newProgress()}
 	if d.Accounts != nil {
 		s.key = DigestKey(key)
 	}
@@ -250,59 +233,6 @@
 	return Outcome{}
 }
 
-func (s *CallerSession) set(st Statement) Outcome {
-	if old, ok := s.values[st.Name]; !s.grow(st.Name, len(st.Value), len(old), ok) {
-		s.failIfOpen()
-		return Outcome{Code: TooBig, Reason: "the session has too many values"}
-	}
-	if tx := s.tx; tx != nil && tx.conn != nil && !s.setInTransaction(st) {
-		s.failTransaction()
-		return Outcome{Code: Aborted, Reason: "the endpoint was lost inside the transaction"}
-	}
-	if s.values == nil {
-		s.values = make(map[string]string)
-	}
-	s.values[st.Name] = st.Value
-	return Outcome{}
-}
-
-// setInTransaction sets a session value on the connection of the open
-// transaction and reports whether that succeeded.
-func (s *CallerSession) setInTransaction(st Statement) bool {
-	values := make(map[string]string, len(s.values)+1)
-	maps.Copy(values, s.values)
-	values[st.Name] = st.Value
-	deadline := s.deadline(s.tx.db)
-	_, err := s.tx.conn.Run(Call{QueueDeadline: deadline, Deadline: deadline, Class: classInTransaction, SessionState: SessionState{Values: values}})
-	if err != nil {
-		s.tx.conn.broken = true
-	}
-	return err == nil
-}
-
-func (s *CallerSession) prepare(st Statement) Outcome {
-	if old, ok := s.prepared[st.Name]; !s.grow(st.Name, len(st.Body.Text), len(old.Text), ok) {
-		s.failIfOpen()
-		return Outcome{Code: TooBig, Reason: "the session has too many prepared statements"}
-	}
-	if s.prepared == nil {
-		s.prepared = make(map[string]PreparedBody)
-	}
-	s.prepared[st.Name] = st.Body
-	return Outcome{}
-}
-
-func (s *CallerSession) deallocate(st Statement) Outcome {
-	old, ok := s.prepared[st.Name]
-	if !ok {
-		s.failIfOpen()
-		return Outcome{Code: NoStatement, Reason: oneLine(st.Name)}
-	}
-	s.stateSize -= len(st.Name) + len(old.Text)
-	delete(s.prepared, st.Name)
-	return Outcome{}
-}
-
 // endTransaction rolls back the open transaction and releases its connection.
 func (s *CallerSession) endTransaction() {
 	tx := s.tx
