soak: a plan of losses, with the troubles that slipped through

Cause: no plan had a replica that is not registered, one that starts again empty behind its old entry, a promoted replica that is lost before it leads, or a primary that is lost while all hosts are down.

What changed: PlanLosses has one such story for each group, and troubles of hosts beside.

--- a/cmd/cumintrestle-soak/main.go
+++ b/cmd/cumintrestle-soak/main.go
@@ -29,7 +29,7 @@
 	flaggy.Int(&callers, "c", "callers", "callers at a time")
 	flaggy.String(&logs, "l", "logs", "folder that keeps the hosts' logs")
 	flaggy.String(&plot, "p", "plot", "PNG file: service over time and the faults of the last run")
-	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, accounts, restarts, or calm")
+	flaggy.String(&plan, "P", "plan", "faults: mixed by default, switches, primaries, losses, accounts, restarts, or calm")
 	flaggy.Bool(&plain, "T", "plain", "send printable, short texts only")
 	flaggy.Bool(&single, "A", "single", "endpoints send each answer once")
 	flaggy.Bool(&long, "L", "long", "with -T, send many long texts")
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -14,6 +14,10 @@
 // account far above its limit, and faults of the host that grants limits. They check under which
 // account each statement ran, that revoked keys are refused, and the operations of each account.
 //
+// Runs of PlanLosses lose endpoints for good, their logs, their registrations or what the store says of a
+// switch, one story for each group: a copy that no host knows of, a replica that starts again without
+// its log, a promoted replica that is lost before it leads, a primary that is lost while all hosts are down.
+//
 // Callers send texts of any bytes, some of them long, and endpoints send one answer in a hundred a
 // second time, at once or later, unless Options says otherwise.
 //
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -264,7 +264,7 @@
 
 // kindByName panics if there is no kind with this name.
 func kindByName(name string) faultKind {
-	for _, kinds := range [][]faultKind{faultKinds, entryKinds, switchKinds, accountKinds, {storeRestored, primarySplit}} {
+	for _, kinds := range [][]faultKind{faultKinds, entryKinds, switchKinds, accountKinds, lossKinds, {storeRestored, primarySplit}} {
 		for _, k := range kinds {
 			if k.name == name {
 				return k
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,7 +35,7 @@
 	// Note receives messages about the soak itself; it may be nil.
 	Note func(line string)
 	// Plan names the plan that is derived from the seed: PlanMixed, PlanSwitches, PlanPrimaries,
-	// PlanAccounts, PlanRestarts or PlanCalm.
+	// PlanLosses, PlanAccounts, PlanRestarts or PlanCalm.
 	Plan string
 	// PlainTexts makes callers send printable texts without long ones, SingleAnswers makes endpoints
 	// send each answer once.
@@ -55,6 +55,8 @@
 	PlanSwitches = "switches"
 	// PlanPrimaries is PrimaryPlan.
 	PlanPrimaries = "primaries"
+	// PlanLosses is LossPlan.
+	PlanLosses = "losses"
 	// PlanAccounts is AccountPlan. Client accounts and their limits are in use.
 	PlanAccounts = "accounts"
 	// PlanRestarts is RestartPlan. Endpoints take time for statements.
@@ -65,7 +67,7 @@
 
 // plans has the plans by name.
 var plans = map[string]func(seed uint64, length time.Duration, hosts int) []Fault{
-	PlanMixed: Plan, PlanSwitches: SwitchPlan, PlanPrimaries: PrimaryPlan, PlanAccounts: AccountPlan,
+	PlanMixed: Plan, PlanSwitches: SwitchPlan, PlanPrimaries: PrimaryPlan, PlanLosses: LossPlan, PlanAccounts: AccountPlan,
 	PlanRestarts: RestartPlan, PlanCalm: func(uint64, time.Duration, int) []Fault { return []Fault{} },
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -68,6 +68,8 @@
 	registered map[string]string
 	// withdrawn has the endpoints that don't register.
 	withdrawn map[string]bool
+	// promoted has the endpoint of each group that a promote call named last.
+	promoted map[int]string
 }
 
 // configVersion is one version of the configuration: the group of the database
@@ -95,11 +97,12 @@
 // newWorld starts the store, the database groups, the proxies and the hosts. The
 // caller has to close the world also after an error.
 func newWorld(opt Options) (*world, error) {
-	w := &world{opt: opt, store: standin.NewStore(), endpointProxies: make(map[string]*proxy), registered: make(map[string]string), withdrawn: make(map[string]bool)}
+	w := &world{opt: opt, store: standin.NewStore(), endpointProxies: make(map[string]*proxy), registered: make(map[string]string), withdrawn: make(map[string]bool), promoted: make(map[int]string)}
 	r := rand.New(rand.NewPCG(opt.Seed, 0))
 	w.connLimit = 2 + r.IntN(12)
 	members := membersPerGroup
-	if opt.Plan == PlanSwitches {
+	switches := opt.Plan == PlanSwitches || opt.Plan == PlanLosses
+	if switches {
 		members += spareMembers
 	}
 	for i := range groups {
@@ -127,7 +130,7 @@
 		}
 	}
 	w.store.Promote = w.promote
-	if opt.Plan == PlanSwitches {
+	if switches {
 		w.watchSwitches()
 	}
 	if opt.Plan == PlanAccounts {
@@ -164,6 +167,7 @@
 func (w *world) promote(id string) bool {
 	for i, g := range w.groups {
 		if g.Promote(id) {
+			w.notePromoted(i, id)
 			w.reached(i, phaseOrdered, "")
 			return true
 		}
