spec: the membership model has a replica that starts again without its log

What changed: with REBORN a replica starts again empty behind its entry. The property holds if the host has seen its log, takes a report of less for a loss, lets that replica back no commit, and does not restart meanwhile; leaving out one of these yields a counterexample.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Checks every model exhaustively, and checks that removing any single guard
 # yields a counterexample. With the argument "full", the failover model is also
-# checked with logs of up to 4 entries, and the acknowledgement model with logs of 2
-# and with each guard of its variant with SEPARATE and KEEPS.
+# checked with logs of up to 4 entries, the acknowledgement model with logs of 2
+# and with each guard of its variant with SEPARATE and KEEPS, and the membership model with a host that
+# restarts beside a replica that starts again.
 set -euo pipefail
 cd "$(dirname "$0")"
 work=$(mktemp -d)
@@ -88,6 +89,8 @@
     breaks acknowledge.pml -DSEPARATE -DKEEPS -D$guard
   done
   breaks acknowledge.pml -DSEPARATE -DKEEPS -DANY_COPY -DOLD_LIST
+  holds membership.pml -DREBORN -DCOMMITS=2 -DSTARTS=1
+  breaks membership.pml -DREBORN -DCOMMITS=2 -DSTARTS=1 -DFORGETS
 fi
 for guard in NO_EVIDENCE SEPARATE LATE_ANSWER UNRECORDED LATE_CLAIM NO_WAIT SHORT_WAIT NO_SECOND_LOOK ANY_PAUSE REPEATED_PAUSE NO_RECORD_LOOK \
   NO_LEASE PASSED_OVER PUT_BACK; do
@@ -113,4 +116,8 @@
 for guard in NO_EARLIER STRIKE_EARLY OLD_POSITION ANY_ANSWER; do
   breaks membership.pml -D$guard
 done
+holds membership.pml -DREBORN -DCOMMITS=2 -DSTARTS=0
+for guard in NO_LOG_CHECK BACKS UNSEEN; do
+  breaks membership.pml -DREBORN -DCOMMITS=2 -DSTARTS=0 -D$guard
+done
 echo "the models hold, and every guard is needed"
