--- a/internal/engine/proof.go
+++ b/internal/engine/proof.go
@@ -121,8 +121,8 @@
 	}
 	others = slices.DeleteFunc(others, func(m replicaset.Member) bool { return !g.MayWitness(m.ID) })
 	done, err := false, errNoProof
-	words := gatheredWords{needed: 1}
-	if e.blind() {
+	words, blind := gatheredWords{needed: 1}, e.blind()
+	if blind {
 		words.needed = len(others)
 	}
 	e.askWords(others, func(w word) bool {
@@ -130,12 +130,12 @@
 		case w.follows(lead):
 			words.add(w)
 			words.followed = true
-		case e.blind() && w.notRunning():
+		case blind && w.notRunning():
 			words.add(w)
 			g.RecordNotRunning(w.member.ID, w.sentAt, e.BootTime())
 		default:
 			done, err = e.refuseWord(g, lead, w, c)
-			return done || e.blind()
+			return done || blind
 		}
 		if !words.suffice() {
 			return false
--- a/internal/replicaset/evidence.go
+++ b/internal/replicaset/evidence.go
@@ -54,7 +54,8 @@
 	s.ledAt = max(s.ledAt, sentAt)
 }
 
-// allFollowedAt returns a time since when each witness was seen to follow the primary, 0 if one was not. A switch that this host can't have heard of may have taken one as gone, and not paused it.
+// allFollowedAt returns a time since when each witness was seen to follow the primary, 0 if one was not.
+// A switch that this host can't have heard of may have taken one as gone, and not paused it.
 func (s *Set) allFollowedAt() Instant {
 	var first Instant
 	named := 0
