Idle PostgreSQL sessions keep nothing of their last request

Cause: the reader of the protocol keeps the last message of each type until the next one of the type comes, so that an idle session held up to 16 MiB which the budget had released.

What changed: a message is moved into the request instead of copied.

--- a/internal/abuse/state_test.go
+++ b/internal/abuse/state_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // longID is a request ID with which a short statement is a message of legal size.
@@ -62,3 +64,23 @@
 		}
 	}
 }
+
+// TestPostgresStateOfLongRequests guards against idle sessions that keep their last request, or all of it
+// for the request ID that was a part of it.
+func TestPostgresStateOfLongRequests(t *testing.T) {
+	p := startPostgres(t, manyFDs)
+	set, err := (&pgproto3.Query{String: "SET cumintrestle.request_id = 'r'" + strings.Repeat(" ", 1<<20)}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	each(crowd, func(int) {
+		nc := p.session()
+		if nc == nil {
+			return
+		}
+		push(nc, set)
+		_ = nc.SetReadDeadline(time.Now().Add(serveTimeout))
+		_, _ = nc.Read(make([]byte, 64))
+	})
+	p.mustBeWell()
+}
--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -55,7 +55,9 @@
 			if len(b.messages) > 0 {
 				return nil, result.New(result.MessageInvalid, "simple query inside an extended request")
 			}
-			return &batch{simple: true, query: m.String, bytes: len(m.String)}, nil
+			b.simple, b.query, b.bytes = true, m.String, len(m.String)
+			*m = pgproto3.Query{}
+			return b, nil
 		case *pgproto3.Terminate:
 			return nil, errDisconnect
 		case *pgproto3.Flush:
@@ -69,8 +71,8 @@
 	}
 }
 
-// addMessage copies a message into the batch, because Receive reuses its
-// messages.
+// addMessage moves a message into the batch: Receive reuses its messages, and keeps their contents
+// until then.
 func (c *callerSession) addMessage(b *batch, parsed map[string]preparedStatement, m pgproto3.FrontendMessage) error {
 	switch m := m.(type) {
 	case *pgproto3.Parse:
@@ -79,6 +81,7 @@
 		b.statements = append(b.statements, p)
 		b.bytes += len(m.Query)
 		b.messages = append(b.messages, &pgproto3.Parse{Name: m.Name, Query: m.Query, ParameterOIDs: p.oids})
+		*m = pgproto3.Parse{}
 	case *pgproto3.Bind:
 		raw, err := m.Encode(nil)
 		if err != nil {
@@ -88,20 +91,24 @@
 		if err := clone.Decode(raw[5:]); err != nil {
 			return result.New(result.MessageInvalid, "bind: %w", err)
 		}
+		*m = pgproto3.Bind{}
 		b.bytes += len(raw)
 		b.messages = append(b.messages, &clone)
 		c.addStatement(b, parsed, clone.PreparedStatement)
 	case *pgproto3.Describe:
 		clone := *m
+		*m = pgproto3.Describe{}
 		b.messages = append(b.messages, &clone)
 		if clone.ObjectType == 'S' {
 			c.addStatement(b, parsed, clone.Name)
 		}
 	case *pgproto3.Execute:
 		clone := *m
+		*m = pgproto3.Execute{}
 		b.messages = append(b.messages, &clone)
 	case *pgproto3.Close:
 		clone := *m
+		*m = pgproto3.Close{}
 		b.messages = append(b.messages, &clone)
 	default:
 		return result.New(result.NotSupported, "message %T", m)
