endpoint: a request that is late at the queue is refused instead of waiting for ever

Cause: the queue of a pool drops requests whose deadline has passed when a connection is free. Acquire took a request that was gone from the queue for a granted one, and waited for a grant that nobody sends.

Ruled out: the pool of the line protocol drops nobody from its queue.

Figures: TestLateRequestIsRefused hangs before, passes after.

--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -138,12 +138,14 @@
 	case g = <-ch:
 	case <-ctx.Done():
 		p.mu.Lock()
-		waiting := p.queue.Remove(w)
+		p.queue.Remove(w)
 		p.mu.Unlock()
-		if waiting {
+		select {
+		case g = <-ch:
+		default:
+			// It was waiting, or the queue has passed it over as late.
 			return nil, result.New(result.QueueDeadline, "no connection to endpoint %s became free in time", p.Member.ID)
 		}
-		g = <-ch
 	}
 	if g.err != nil {
 		return nil, g.err
--- a/internal/endpoint/pool_test.go
+++ b/internal/endpoint/pool_test.go
@@ -71,3 +71,26 @@
 		t.Errorf("the pool holds %d connections, %d of them idle, want 1 and 1", s.Held, s.Idle)
 	}
 }
+
+// TestLateRequestIsRefused guards against a request that waits for ever: its deadline had passed when a
+// connection was free, so that the queue passed it over.
+func TestLateRequestIsRefused(t *testing.T) {
+	address, _ := slowEndpoint(t, 0)
+	p := &Pool{Member: core.Member{ID: "m", Address: address}, Database: "d", Clock: clock.New()}
+	p.SetLimit(1)
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+	defer cancel()
+	acquired := make(chan error, 1)
+	go func() {
+		_, err := p.Acquire(ctx, "a", core.ClassWrite)
+		acquired <- err
+	}()
+	select {
+	case err := <-acquired:
+		if result.CodeOf(err) != result.QueueDeadline {
+			t.Errorf("got %v, want %d", err, result.QueueDeadline)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request still waits")
+	}
+}
